--- /dev/null
+++ b/packages/core/include/jujubespool/core/dispatcher.h
@@ -0,0 +1,211 @@
+// Takes requests from admission to their outcome.
+//
+// The dispatcher decides; its owner does the input and output:
+//
+//     failure reason;
+//     if (!dispatcher.admit(request, state, now, reason)) { refuse(reason); }
+//     for (const dispatch &start : dispatcher.schedule(state, now)) { send(start); }
+//     const attempt_decision next = dispatcher.onResult(id, result, state, now);
+//
+// A request starts only against a permit of its team and a slot of its worker. Both stay in use until
+// the upstream has certainly ended: until the answer, or until the longest run time after a
+// connection was lost.
+#pragma once
+
+#include <jujubespool/core/failure.h>
+#include <jujubespool/core/fair_queue.h>
+#include <jujubespool/core/fleet_state.h>
+#include <jujubespool/core/permit_wallet.h>
+#include <jujubespool/core/retry_budget.h>
+#include <jujubespool/core/worker_selector.h>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace jujubespool {
+
+// Team name of requests on queues that are open to all.
+inline const std::string OPEN_TEAM = "open-queue";
+
+struct request_spec
+{
+    request_id id = 0;
+    // OPEN_TEAM for a request without a key on an open queue.
+    std::string team;
+    std::string service;
+    request_class priority = request_class::normal;
+    instant deadline;
+    bool repeatable = false;
+};
+
+struct dispatch
+{
+    request_id id = 0;
+    std::string worker;
+    std::string address;
+    // The attempt is given up at this time.
+    instant deadline;
+};
+
+struct refusal
+{
+    request_id id = 0;
+    // not_run, or unknown when an earlier attempt may have run.
+    jujubespool::outcome outcome = outcome::not_run;
+    failure reason;
+};
+
+enum class next_move {
+    // Pass the answer to the caller.
+    reply,
+    // The request waits for another worker; nothing is to be told yet.
+    retry,
+    // Tell the caller that the work did not run.
+    not_run,
+    // Tell the caller that the work may have run.
+    unknown
+};
+
+template <> struct enum_names<next_move>
+{
+    static constexpr std::array<std::string_view, 4> NAMES{ "reply", "retry", "not-run", "unknown" };
+};
+
+// Permits that waiting requests lack.
+struct permit_want
+{
+    // Either a team's permits are wanted or the slots of a pool's workers.
+    std::string team;
+    std::string pool;
+    std::uint32_t count = 0;
+    double virtualTime = 0;
+};
+
+// Measured run time of one team on one service, which peers are told of.
+struct charged_time
+{
+    std::string service;
+    std::string team;
+    std::uint64_t runUs = 0;
+};
+
+class dispatcher
+{
+public:
+    dispatcher(permit_wallet &wallet, std::uint64_t seed);
+
+    // Queues the request, or returns false with the reason for a refusal that ran nothing.
+    bool admit(const request_spec &request, const fleet_state &state, instant now, failure &reason);
+
+    // Starts what may start now.
+    std::vector<dispatch> schedule(const fleet_state &state, instant now);
+
+    next_move onResult(request_id id, attempt_result result, const fleet_state &state, instant now);
+
+    // Drops a waiting request. Fails when it is running or unknown.
+    bool cancel(request_id id);
+
+    // Waiting requests that cannot start before their deadline any more.
+    std::vector<refusal> expire(instant now);
+
+    // Frees permits of lost connections whose upstream must have ended.
+    void settle(instant now);
+
+    // Charges what a peer has measured.
+    void chargePeer(const charged_time &charged, const fleet_state &state);
+    // Run time measured here since the start, for the peers.
+    std::vector<charged_time> chargedTimes() const;
+
+    // What waiting requests lack now.
+    std::vector<permit_want> wants(const fleet_state &state, instant now) const;
+
+    // Whether requests wait that the resource could serve.
+    bool needs(const std::string &resource, const fleet_state &state) const;
+
+    // Whether a request of the team could start as far as its limit goes.
+    bool teamHasRoom(const std::string &team, const fleet_state &state, instant now) const;
+
+    // Lowest virtual time waiting for the pool, if any.
+    std::optional<double> headVirtualTime(const std::string &pool) const;
+
+    // Hosts of the pool that are in service.
+    const std::vector<std::string> &workersOf(const std::string &pool, const fleet_state &state);
+
+    // Names hosts of which the platform says that they leave; nothing new starts on them.
+    void setLeaving(std::set<std::string> hosts)
+    {
+        m_leaving = std::move(hosts);
+    }
+
+    std::size_t waiting() const;
+    std::size_t running() const
+    {
+        return m_running.size();
+    }
+    std::size_t lingering() const
+    {
+        return m_lingering.size();
+    }
+    std::vector<std::string> ejectedWorkers() const;
+
+private:
+    struct service_estimate
+    {
+        double runUs = 0;
+    };
+    struct pool_lane
+    {
+        explicit pool_lane(std::uint64_t seed)
+            : selector(seed)
+        {
+        }
+        fair_queue queue;
+        worker_selector selector;
+        retry_budget retries;
+        log_offset workersAsOf = 0;
+        std::vector<std::string> workers;
+    };
+    struct request_record
+    {
+        request_spec spec;
+        std::string pool;
+        std::vector<std::string> tried;
+        std::string worker;
+        instant startedAt;
+        duration estimate{ 0 };
+        // An earlier attempt may have run.
+        bool mayHaveRun = false;
+    };
+    struct lingering_work
+    {
+        std::string team;
+        std::string worker;
+    };
+
+    pool_lane &laneOf(const std::string &pool);
+    void refreshWorkers(const std::string &pool, pool_lane &lane, const fleet_state &state);
+    std::uint32_t shareOf(const std::string &team, const fleet_state &state) const;
+    duration estimateOf(const std::string &service) const;
+    void schedulePool(const std::string &pool, pool_lane &lane, const fleet_state &state, instant now, std::vector<dispatch> &starts);
+    std::vector<std::string> freeWorkers(const pool_lane &lane, const fleet_state &state, instant now) const;
+    dispatch start(request_record &request, const std::string &worker, pool_lane &lane, const fleet_state &state, instant now);
+    void releasePermits(const request_record &request);
+    void chargeMeasured(const request_record &request, pool_lane &lane, duration measured, const fleet_state &state);
+    next_move retryOr(next_move otherwise, request_record request, pool_lane &lane, const fleet_state &state, instant now);
+    bool tooLate(const request_spec &request, const pool_lane &lane, const fleet_state &state, instant now) const;
+
+    permit_wallet &m_wallet;
+    std::uint64_t m_seed;
+    std::set<std::string> m_leaving;
+    std::map<std::string, pool_lane> m_lanes;
+    std::unordered_map<request_id, request_record> m_waiting;
+    std::unordered_map<request_id, request_record> m_running;
+    std::set<std::pair<instant, request_id>> m_deadlines;
+    std::multimap<instant, lingering_work> m_lingering;
+    std::map<std::string, service_estimate> m_estimates;
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_charged;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/core/include/jujubespool/core/names.h
@@ -0,0 +1,37 @@
+// Tables of names for enumerations.
+//
+//     template<> struct enum_names<color> {
+//         static constexpr std::array<std::string_view, 2> NAMES { "red", "green" };
+//     };
+//     nameOf(color::green);               // "green"
+//     valueOf<color>("red");              // color::red
+//
+// The enumerators count up from 0 in the order of the table.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace jujubespool {
+
+template <typename E> struct enum_names;
+
+template <typename E> constexpr std::string_view nameOf(E value)
+{
+    return enum_names<E>::NAMES.at(static_cast<std::size_t>(value));
+}
+
+template <typename E> constexpr std::optional<E> valueOf(std::string_view name)
+{
+    const auto &names = enum_names<E>::NAMES;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        if (names[i] == name) {
+            return static_cast<E>(i);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/core/src/dispatcher.cpp
@@ -0,0 +1,361 @@
+#include <jujubespool/core/dispatcher.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr std::size_t MAX_WAITING_PER_TEAM = 10000;
+constexpr std::size_t MAX_ATTEMPTS = 3;
+constexpr double ESTIMATE_SMOOTHING = 0.1;
+constexpr milliseconds INITIAL_ESTIMATE{ 5 };
+// Waiting requests for which one request for a loan asks at most.
+constexpr std::uint32_t MAX_WANTED = 256;
+
+} // namespace
+
+dispatcher::dispatcher(permit_wallet &wallet, std::uint64_t seed)
+    : m_wallet(wallet)
+    , m_seed(seed)
+{
+}
+
+dispatcher::pool_lane &dispatcher::laneOf(const std::string &pool)
+{
+    const auto found = m_lanes.find(pool);
+    if (found != m_lanes.end()) {
+        return found->second;
+    }
+    return m_lanes.try_emplace(pool, m_seed + m_lanes.size()).first->second;
+}
+
+void dispatcher::refreshWorkers(const std::string &pool, pool_lane &lane, const fleet_state &state)
+{
+    if (lane.workersAsOf == state.hostsChangedAt() && !lane.workers.empty()) {
+        return;
+    }
+    lane.workersAsOf = state.hostsChangedAt();
+    lane.workers.clear();
+    for (const auto &[name, status] : state.hosts()) {
+        if (status.pool == pool && status.state == host_state::active && !status.removed) {
+            lane.workers.push_back(name);
+        }
+    }
+    lane.selector.setWorkers(lane.workers);
+}
+
+std::uint32_t dispatcher::shareOf(const std::string &team, const fleet_state &state) const
+{
+    const team_spec *spec = state.config().findTeam(team);
+    return spec == nullptr ? 1 : spec->share;
+}
+
+duration dispatcher::estimateOf(const std::string &service) const
+{
+    const auto found = m_estimates.find(service);
+    return found == m_estimates.end() ? duration(INITIAL_ESTIMATE) : duration(static_cast<duration::rep>(found->second.runUs));
+}
+
+// Whether the requests ahead leave no chance of an answer before the deadline.
+bool dispatcher::tooLate(const request_spec &request, const pool_lane &lane, const fleet_state &state, instant now) const
+{
+    std::uint32_t slots = 0;
+    for (const std::string &name : lane.workers) {
+        const escrow_account *account = state.ledger().find(workerResource(name));
+        slots += account == nullptr ? 0 : account->limit;
+    }
+    const auto estimate = static_cast<double>(estimateOf(request.service).count());
+    const auto ahead = static_cast<double>(lane.queue.waiting(request.team));
+    const double wait = slots == 0 ? 0 : ahead * estimate / slots;
+    return now + duration(static_cast<duration::rep>(wait)) > request.deadline;
+}
+
+bool dispatcher::admit(const request_spec &request, const fleet_state &state, instant now, failure &reason)
+{
+    const service_spec *service = state.config().findService(request.service);
+    if (service == nullptr) {
+        reason = { step::admit, {}, fmt::format("unknown service {}", request.service) };
+        return false;
+    }
+    pool_lane &lane = laneOf(service->pool);
+    refreshWorkers(service->pool, lane, state);
+    if (lane.queue.waiting(request.team) >= MAX_WAITING_PER_TEAM) {
+        reason = { step::queue, {}, fmt::format("{} requests of team {} wait already", MAX_WAITING_PER_TEAM, request.team) };
+        return false;
+    }
+    if (tooLate(request, lane, state, now)) {
+        reason = { step::queue, {}, "the requests ahead leave no time before the deadline" };
+        return false;
+    }
+    request_record record;
+    record.spec = request;
+    record.pool = service->pool;
+    lane.queue.push({ request.id, request.team, request.priority }, shareOf(request.team, state));
+    lane.retries.onRequest();
+    m_deadlines.emplace(request.deadline, request.id);
+    m_waiting.emplace(request.id, std::move(record));
+    return true;
+}
+
+bool dispatcher::teamHasRoom(const std::string &team, const fleet_state &state, instant now) const
+{
+    return team == OPEN_TEAM || m_wallet.usable(teamResource(team), state.ledger(), now) > 0;
+}
+
+std::vector<std::string> dispatcher::freeWorkers(const pool_lane &lane, const fleet_state &state, instant now) const
+{
+    std::vector<std::string> open;
+    for (const std::string &name : lane.workers) {
+        if (m_leaving.count(name) == 0 && m_wallet.usable(workerResource(name), state.ledger(), now) > 0) {
+            open.push_back(name);
+        }
+    }
+    return open;
+}
+
+std::vector<dispatch> dispatcher::schedule(const fleet_state &state, instant now)
+{
+    std::vector<dispatch> starts;
+    for (auto &[pool, lane] : m_lanes) {
+        if (lane.queue.size() > 0) {
+            schedulePool(pool, lane, state, now, starts);
+        }
+    }
+    return starts;
+}
+
+void dispatcher::schedulePool(const std::string &pool, pool_lane &lane, const fleet_state &state, instant now,
+                              std::vector<dispatch> &starts)
+{
+    refreshWorkers(pool, lane, state);
+    std::vector<std::string> open = freeWorkers(lane, state, now);
+    const auto eligible = [&](const std::string &team) {
+        return teamHasRoom(team, state, now);
+    };
+    while (!open.empty() && lane.queue.size() > 0) {
+        const auto next = lane.queue.pop(eligible, duration(0));
+        if (!next) {
+            return;
+        }
+        const auto found = m_waiting.find(next->id);
+        const auto worker = lane.selector.pick(open, found->second.tried, now);
+        if (!worker) {
+            lane.queue.putBack(*next, shareOf(next->team, state), duration(0));
+            return;
+        }
+        request_record request = std::move(found->second);
+        m_waiting.erase(found);
+        m_deadlines.erase({ request.spec.deadline, request.spec.id });
+        starts.push_back(start(request, *worker, lane, state, now));
+        m_running[request.spec.id] = std::move(request);
+        if (m_wallet.usable(workerResource(*worker), state.ledger(), now) == 0) {
+            std::erase(open, *worker);
+        }
+    }
+}
+
+dispatch dispatcher::start(request_record &request, const std::string &worker, pool_lane &lane, const fleet_state &state, instant now)
+{
+    if (request.spec.team != OPEN_TEAM) {
+        m_wallet.acquire(teamResource(request.spec.team), state.ledger(), now);
+    }
+    m_wallet.acquire(workerResource(worker), state.ledger(), now);
+    lane.selector.onStart(worker);
+    request.worker = worker;
+    request.tried.push_back(worker);
+    request.startedAt = now;
+    request.estimate = estimateOf(request.spec.service);
+    lane.queue.charge(request.spec.team, shareOf(request.spec.team, state), request.estimate);
+    const host_spec *host = state.config().findHost(worker);
+    const service_spec *service = state.config().findService(request.spec.service);
+    const instant longest = now + (service == nullptr ? state.config().longestRun() : service->maxRun);
+    return { request.spec.id, worker, host == nullptr ? std::string() : host->address, std::min(request.spec.deadline, longest) };
+}
+
+void dispatcher::releasePermits(const request_record &request)
+{
+    if (request.spec.team != OPEN_TEAM) {
+        m_wallet.release(teamResource(request.spec.team));
+    }
+    m_wallet.release(workerResource(request.worker));
+}
+
+void dispatcher::chargeMeasured(const request_record &request, pool_lane &lane, duration measured, const fleet_state &state)
+{
+    lane.queue.charge(request.spec.team, shareOf(request.spec.team, state), measured - request.estimate);
+    m_charged[{ request.spec.service, request.spec.team }] += static_cast<std::uint64_t>(measured.count());
+}
+
+next_move dispatcher::onResult(request_id id, attempt_result result, const fleet_state &state, instant now)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end()) {
+        return next_move::unknown;
+    }
+    request_record request = std::move(found->second);
+    m_running.erase(found);
+    const bool ranBefore = request.mayHaveRun;
+    request.mayHaveRun = ranBefore || result != attempt_result::connect_failed;
+    pool_lane &lane = laneOf(request.pool);
+    const duration measured = now - request.startedAt;
+    const std::string source = request.spec.service + "/" + request.spec.team;
+    lane.selector.onResult(request.worker, source, result, measured, now);
+    chargeMeasured(request, lane, measured, state);
+    if (result == attempt_result::closed_early || result == attempt_result::silent) {
+        // The upstream may still work on it, so the permits stay in use as long as it can.
+        m_lingering.emplace(request.startedAt + state.config().longestRun(), lingering_work{ request.spec.team, request.worker });
+        return retryOr(next_move::unknown, std::move(request), lane, state, now);
+    }
+    releasePermits(request);
+    if (result == attempt_result::connect_failed) {
+        return retryOr(ranBefore ? next_move::unknown : next_move::not_run, std::move(request), lane, state, now);
+    }
+    if (result == attempt_result::answered) {
+        double &estimate
+            = m_estimates.try_emplace(request.spec.service, service_estimate{ static_cast<double>(measured.count()) }).first->second.runUs;
+        estimate += ESTIMATE_SMOOTHING * (static_cast<double>(measured.count()) - estimate);
+        return next_move::reply;
+    }
+    return retryOr(next_move::reply, std::move(request), lane, state, now);
+}
+
+next_move dispatcher::retryOr(next_move otherwise, request_record request, pool_lane &lane, const fleet_state &state, instant now)
+{
+    // A connection that was never made ran nothing, so trying elsewhere is safe for any request.
+    const bool safe = otherwise == next_move::not_run || request.spec.repeatable;
+    const bool blamed = lane.selector.isBlamed(request.spec.service + "/" + request.spec.team);
+    if (!safe || blamed || request.tried.size() >= MAX_ATTEMPTS || now >= request.spec.deadline || !lane.retries.tryRetry()) {
+        return otherwise;
+    }
+    lane.queue.putBack({ request.spec.id, request.spec.team, request.spec.priority }, shareOf(request.spec.team, state), duration(0));
+    m_deadlines.emplace(request.spec.deadline, request.spec.id);
+    m_waiting[request.spec.id] = std::move(request);
+    return next_move::retry;
+}
+
+bool dispatcher::cancel(request_id id)
+{
+    const auto found = m_waiting.find(id);
+    if (found == m_waiting.end()) {
+        return false;
+    }
+    laneOf(found->second.pool).queue.cancel(id);
+    m_deadlines.erase({ found->second.spec.deadline, id });
+    m_waiting.erase(found);
+    return true;
+}
+
+std::vector<refusal> dispatcher::expire(instant now)
+{
+    std::vector<refusal> refusals;
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const request_id id = m_deadlines.begin()->second;
+        const request_record &request = m_waiting.at(id);
+        const std::string peer = request.tried.empty() ? std::string() : request.tried.back();
+        const outcome told = request.mayHaveRun ? outcome::unknown : outcome::not_run;
+        refusals.push_back({ id, told, { step::queue, peer, "the deadline passed while the request waited" } });
+        cancel(id);
+    }
+    return refusals;
+}
+
+void dispatcher::settle(instant now)
+{
+    while (!m_lingering.empty() && m_lingering.begin()->first <= now) {
+        const lingering_work &work = m_lingering.begin()->second;
+        if (work.team != OPEN_TEAM) {
+            m_wallet.release(teamResource(work.team));
+        }
+        m_wallet.release(workerResource(work.worker));
+        m_lingering.erase(m_lingering.begin());
+    }
+}
+
+void dispatcher::chargePeer(const charged_time &charged, const fleet_state &state)
+{
+    const service_spec *service = state.config().findService(charged.service);
+    if (service != nullptr) {
+        laneOf(service->pool).queue.charge(charged.team, shareOf(charged.team, state), duration(charged.runUs));
+    }
+}
+
+std::vector<charged_time> dispatcher::chargedTimes() const
+{
+    std::vector<charged_time> times;
+    for (const auto &[key, runUs] : m_charged) {
+        times.push_back({ key.first, key.second, runUs });
+    }
+    return times;
+}
+
+std::vector<permit_want> dispatcher::wants(const fleet_state &state, instant now) const
+{
+    std::vector<permit_want> wanted;
+    std::map<std::string, std::uint32_t> teams;
+    for (const auto &[pool, lane] : m_lanes) {
+        if (lane.queue.size() == 0) {
+            continue;
+        }
+        std::uint32_t startable = 0;
+        for (const auto &[team, count] : lane.queue.waitingTeams()) {
+            if (teamHasRoom(team, state, now)) {
+                startable += static_cast<std::uint32_t>(count);
+            } else {
+                teams[team] += static_cast<std::uint32_t>(count);
+            }
+        }
+        if (startable > 0 && freeWorkers(lane, state, now).empty()) {
+            wanted.push_back({ {}, pool, std::min(startable, MAX_WANTED), lane.queue.headVirtualTime().value_or(0) });
+        }
+    }
+    for (const auto &[team, count] : teams) {
+        wanted.push_back({ team, {}, std::min(count, MAX_WANTED), 0 });
+    }
+    return wanted;
+}
+
+bool dispatcher::needs(const std::string &resource, const fleet_state &state) const
+{
+    const std::string name = resource.substr(resource.find('/') + 1);
+    if (resource == teamResource(name)) {
+        return std::any_of(m_lanes.begin(), m_lanes.end(), [&](const auto &lane) { return lane.second.queue.waiting(name) > 0; });
+    }
+    const auto host = state.hosts().find(name);
+    if (host == state.hosts().end() || host->second.state != host_state::active) {
+        return false;
+    }
+    const auto lane = m_lanes.find(host->second.pool);
+    return lane != m_lanes.end() && lane->second.queue.size() > 0;
+}
+
+std::optional<double> dispatcher::headVirtualTime(const std::string &pool) const
+{
+    const auto lane = m_lanes.find(pool);
+    return lane == m_lanes.end() ? std::nullopt : lane->second.queue.headVirtualTime();
+}
+
+const std::vector<std::string> &dispatcher::workersOf(const std::string &pool, const fleet_state &state)
+{
+    pool_lane &lane = laneOf(pool);
+    refreshWorkers(pool, lane, state);
+    return lane.workers;
+}
+
+std::size_t dispatcher::waiting() const
+{
+    return m_waiting.size();
+}
+
+std::vector<std::string> dispatcher::ejectedWorkers() const
+{
+    std::vector<std::string> names;
+    for (const auto &[pool, lane] : m_lanes) {
+        const auto ejected = lane.selector.ejected();
+        names.insert(names.end(), ejected.begin(), ejected.end());
+    }
+    return names;
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/core/src/escrow_ledger.cpp
@@ -0,0 +1,146 @@
+#include <jujubespool/core/escrow_ledger.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace jujubespool {
+
+namespace {
+
+std::vector<holding>::iterator positionOf(std::vector<holding> &holdings, session_id session)
+{
+    return std::lower_bound(holdings.begin(), holdings.end(), session,
+                            [](const holding &item, session_id id) { return item.session < id; });
+}
+
+void add(std::vector<holding> &holdings, session_id session, std::uint32_t count)
+{
+    const auto position = positionOf(holdings, session);
+    if (position != holdings.end() && position->session == session) {
+        position->count += count;
+    } else {
+        holdings.insert(position, { session, count });
+    }
+}
+
+void subtract(std::vector<holding> &holdings, session_id session, std::uint32_t count)
+{
+    const auto position = positionOf(holdings, session);
+    position->count -= count;
+    if (position->count == 0) {
+        holdings.erase(position);
+    }
+}
+
+} // namespace
+
+std::string teamResource(const std::string &team)
+{
+    return "team/" + team;
+}
+
+std::string workerResource(const std::string &host)
+{
+    return "worker/" + host;
+}
+
+std::string rangeResource(std::uint32_t range)
+{
+    return fmt::format("range/{:03}", range);
+}
+
+std::uint32_t escrow_account::heldBy(session_id session) const
+{
+    for (const holding &item : holdings) {
+        if (item.session == session) {
+            return item.count;
+        }
+    }
+    return 0;
+}
+
+std::uint32_t escrow_account::totalHeld() const
+{
+    std::uint32_t total = 0;
+    for (const holding &item : holdings) {
+        total += item.count;
+    }
+    return total;
+}
+
+std::int64_t escrow_account::unassigned() const
+{
+    return static_cast<std::int64_t>(limit) - totalHeld();
+}
+
+void escrow_ledger::setLimit(const std::string &resource, std::uint32_t limit, const std::string &dataCenter)
+{
+    escrow_account &account = m_accounts[resource];
+    account.limit = limit;
+    account.dataCenter = dataCenter;
+}
+
+bool escrow_ledger::erase(const std::string &resource)
+{
+    const auto found = m_accounts.find(resource);
+    if (found == m_accounts.end() || !found->second.holdings.empty()) {
+        return false;
+    }
+    m_accounts.erase(found);
+    return true;
+}
+
+const escrow_account *escrow_ledger::find(const std::string &resource) const
+{
+    const auto found = m_accounts.find(resource);
+    return found == m_accounts.end() ? nullptr : &found->second;
+}
+
+std::uint32_t escrow_ledger::heldBy(const std::string &resource, session_id session) const
+{
+    const escrow_account *account = find(resource);
+    return account == nullptr ? 0 : account->heldBy(session);
+}
+
+bool escrow_ledger::take(const std::string &resource, session_id session, std::uint32_t count)
+{
+    const auto found = m_accounts.find(resource);
+    if (found == m_accounts.end() || count == 0 || found->second.unassigned() < count) {
+        return false;
+    }
+    add(found->second.holdings, session, count);
+    return true;
+}
+
+bool escrow_ledger::give(const std::string &resource, session_id from, session_id receiver, std::uint32_t count)
+{
+    const auto found = m_accounts.find(resource);
+    if (found == m_accounts.end() || count == 0 || found->second.heldBy(from) < count) {
+        return false;
+    }
+    subtract(found->second.holdings, from, count);
+    if (receiver != NO_SESSION) {
+        add(found->second.holdings, receiver, count);
+    }
+    return true;
+}
+
+std::vector<std::string> escrow_ledger::release(session_id session)
+{
+    std::vector<std::string> released;
+    for (auto &[name, account] : m_accounts) {
+        const std::uint32_t count = account.heldBy(session);
+        if (count > 0) {
+            subtract(account.holdings, session, count);
+            released.push_back(name);
+        }
+    }
+    return released;
+}
+
+void escrow_ledger::restore(const std::string &resource, session_id session, std::uint32_t count)
+{
+    add(m_accounts[resource].holdings, session, count);
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/core/src/log_replay.cpp
@@ -0,0 +1,112 @@
+#include <jujubespool/core/log_replay.h>
+
+namespace jujubespool {
+
+log_replay::log_replay(replay_observer &observer)
+    : m_observer(observer)
+{
+}
+
+log_offset log_replay::nextOffset() const
+{
+    return m_buffer.empty() ? m_state.nextOffset() : m_buffer.back().offset + 1;
+}
+
+void log_replay::offer(log_offset offset, const std::string &bytes)
+{
+    if (offset < nextOffset()) {
+        return;
+    }
+    const bool gap = offset > nextOffset();
+    if (gap) {
+        // What was buffered after an earlier gap cannot be joined to this record.
+        m_buffer.clear();
+        m_chunks.clear();
+    }
+    if (gap || !m_buffer.empty()) {
+        m_buffer.push_back({ offset, bytes });
+        wire::record record;
+        if (record.ParseFromString(bytes) && record.has_chunk()) {
+            noteChunk(offset, record);
+        }
+        return;
+    }
+    applyOne(offset, bytes);
+}
+
+void log_replay::applyOne(log_offset offset, const std::string &bytes)
+{
+    wire::record record;
+    if (!record.ParseFromString(bytes)) {
+        ++m_undecodable;
+        m_state.skip(offset);
+        m_observer.onUndecodable(offset);
+        return;
+    }
+    if (record.has_chunk()) {
+        noteChunk(offset, record);
+    }
+    const applied result = m_state.apply(offset, record);
+    m_observer.onApplied(offset, record, result);
+}
+
+void log_replay::noteChunk(log_offset offset, const wire::record &record)
+{
+    const wire::snapshot_chunk &chunk = record.chunk();
+    const std::pair<session_id, log_offset> id{ record.session(), chunk.next_offset() };
+    chunk_set &chunks = m_chunks[id];
+    if (chunks.parts.empty()) {
+        chunks.firstOffset = offset;
+    }
+    chunks.total = chunk.total();
+    // Only a reader behind a gap needs the bytes.
+    chunks.parts[chunk.index()] = m_buffer.empty() ? std::string() : chunk.data();
+    if (chunks.parts.size() < chunks.total) {
+        return;
+    }
+    m_snapshotOffset = chunks.firstOffset;
+    const chunk_set complete = std::move(chunks);
+    m_chunks.erase(id);
+    if (!m_buffer.empty() && chunk.next_offset() >= m_buffer.front().offset) {
+        tryLoad(complete);
+    }
+}
+
+void log_replay::tryLoad(const chunk_set &chunks)
+{
+    std::string image;
+    for (const auto &[index, part] : chunks.parts) {
+        image += part;
+    }
+    failure reason;
+    std::optional<fleet_state> loaded = fleet_state::load(image, reason);
+    if (!loaded || loaded->nextOffset() < m_state.nextOffset()) {
+        return;
+    }
+    m_state = std::move(*loaded);
+    const std::vector<raw_record> buffered = std::move(m_buffer);
+    m_buffer.clear();
+    m_observer.onLoaded(m_state.nextOffset());
+    for (const raw_record &raw : buffered) {
+        if (raw.offset >= m_state.nextOffset()) {
+            applyOne(raw.offset, raw.bytes);
+        }
+    }
+}
+
+std::vector<wire::record> snapshotRecords(const fleet_state &state)
+{
+    const std::string image = state.serialize();
+    const std::size_t total = image.size() / SNAPSHOT_CHUNK_BYTES + 1;
+    std::vector<wire::record> records(total);
+    for (std::size_t i = 0; i < total; ++i) {
+        wire::snapshot_chunk &chunk = *records[i].mutable_chunk();
+        chunk.set_next_offset(state.nextOffset());
+        chunk.set_index(static_cast<std::uint32_t>(i));
+        chunk.set_total(static_cast<std::uint32_t>(total));
+        chunk.set_data(image.substr(i * SNAPSHOT_CHUNK_BYTES, SNAPSHOT_CHUNK_BYTES));
+    }
+    return records;
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/core/src/wave_planner.cpp
@@ -0,0 +1,176 @@
+#include <jujubespool/core/wave_planner.h>
+
+#include <algorithm>
+#include <deque>
+#include <fmt/format.h>
+#include <map>
+#include <unordered_map>
+
+namespace jujubespool {
+
+namespace {
+
+using rack_index = std::unordered_map<std::string, std::string>;
+
+rack_index racksOf(const fleet_state &state)
+{
+    rack_index racks;
+    for (const host_spec &host : state.config().hosts) {
+        racks[host.name] = host.dataCenter + "/" + host.rack;
+    }
+    return racks;
+}
+
+// Orders hosts by rack, the fullest rack first, so that few racks are disturbed at a time.
+void orderByRack(std::vector<std::string> &hosts, const rack_index &racks)
+{
+    std::unordered_map<std::string, std::size_t> size;
+    const auto rackOf = [&racks](const std::string &host) {
+        const auto found = racks.find(host);
+        return found == racks.end() ? std::string() : found->second;
+    };
+    for (const std::string &host : hosts) {
+        ++size[rackOf(host)];
+    }
+    std::sort(hosts.begin(), hosts.end(), [&](const std::string &left, const std::string &right) {
+        const std::string leftRack = rackOf(left);
+        const std::string rightRack = rackOf(right);
+        if (leftRack != rightRack) {
+            const std::size_t leftSize = size[leftRack];
+            const std::size_t rightSize = size[rightRack];
+            return leftSize != rightSize ? leftSize > rightSize : leftRack < rightRack;
+        }
+        return left < right;
+    });
+}
+
+std::map<std::string, std::deque<std::string>> byPool(const fleet_state &state, const std::vector<std::string> &hosts)
+{
+    std::map<std::string, std::deque<std::string>> pools;
+    for (const std::string &host : hosts) {
+        const auto status = state.hosts().find(host);
+        if (status != state.hosts().end()) {
+            pools[status->second.pool].push_back(host);
+        }
+    }
+    return pools;
+}
+
+// Hosts of the pool that the budget still lets go.
+std::uint32_t roomOf(const fleet_state &state, const std::string &pool)
+{
+    const std::uint32_t allowed = state.allowedUnavailable(pool);
+    return allowed - std::min(allowed, state.unavailable(pool));
+}
+
+} // namespace
+
+wave_plan planWave(const fleet_state &state, const std::vector<std::string> &hosts, const wave_times &times)
+{
+    wave_plan plan;
+    std::vector<std::string> ordered = hosts;
+    orderByRack(ordered, racksOf(state));
+    std::map<std::string, std::deque<std::string>> waiting = byPool(state, ordered);
+    for (auto pool = waiting.begin(); pool != waiting.end();) {
+        const std::uint32_t room = roomOf(state, pool->first);
+        if (room == 0) {
+            plan.impossible.insert(plan.impossible.end(), pool->second.begin(), pool->second.end());
+            pool = waiting.erase(pool);
+            continue;
+        }
+        plan.lowerBound = std::max(plan.lowerBound, (pool->second.size() + room - 1) / room);
+        ++pool;
+    }
+    while (!waiting.empty()) {
+        wave_round &round = plan.rounds.emplace_back();
+        for (auto pool = waiting.begin(); pool != waiting.end();) {
+            const std::size_t count = std::min<std::size_t>(roomOf(state, pool->first), pool->second.size());
+            for (std::size_t i = 0; i < count; ++i) {
+                round.hosts.push_back(pool->second.front());
+                pool->second.pop_front();
+            }
+            pool = pool->second.empty() ? waiting.erase(pool) : std::next(pool);
+        }
+    }
+    plan.predicted = (times.drain + times.reboot) * static_cast<milliseconds::rep>(plan.rounds.size());
+    return plan;
+}
+
+std::vector<std::string> nextDrains(const fleet_state &state, const wave_status &wave)
+{
+    if (wave.state != wave_state::running) {
+        return {};
+    }
+    std::vector<std::string> open;
+    for (const std::string &host : wave.start.hosts()) {
+        const auto status = state.hosts().find(host);
+        const bool active = status != state.hosts().end() && status->second.state == host_state::active;
+        if (active && !wave.settled(host)) {
+            open.push_back(host);
+        }
+    }
+    orderByRack(open, racksOf(state));
+    std::vector<std::string> drains;
+    for (const auto &[pool, hosts] : byPool(state, open)) {
+        const std::size_t count = std::min<std::size_t>(roomOf(state, pool), hosts.size());
+        drains.insert(drains.end(), hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(count));
+    }
+    return drains;
+}
+
+std::optional<std::string> waitReason(const fleet_state &state, const wave_status &wave, bool logAvailable)
+{
+    if (wave.state != wave_state::running) {
+        return fmt::format("{}: {}", nameOf(wave.state), wave.reason);
+    }
+    if (!logAvailable) {
+        return "the log is away";
+    }
+    if (!nextDrains(state, wave).empty()) {
+        return std::nullopt;
+    }
+    for (const std::string &host : wave.start.hosts()) {
+        const auto status = state.hosts().find(host);
+        if (status == state.hosts().end() || wave.settled(host)) {
+            continue;
+        }
+        if (status->second.state == host_state::active) {
+            return state.budgetObjection(host);
+        }
+        return fmt::format("host {} is {}", host, nameOf(status->second.state));
+    }
+    return std::nullopt;
+}
+
+std::vector<buffer_need> planBuffer(const fleet_state &state)
+{
+    const rack_index racks = racksOf(state);
+    std::map<std::string, std::map<std::string, std::uint32_t>> hostsPerRack;
+    for (const auto &[name, status] : state.hosts()) {
+        const auto rack = racks.find(name);
+        if (rack != racks.end()) {
+            ++hostsPerRack[status.pool][rack->second];
+        }
+    }
+    std::vector<buffer_need> needs;
+    for (const pool_spec &pool : state.config().pools) {
+        if (pool.spare) {
+            continue;
+        }
+        buffer_need need;
+        need.pool = pool.name;
+        need.hosts = state.poolSize(pool.name);
+        need.allowed = state.allowedUnavailable(pool.name);
+        for (const auto &[rack, count] : hostsPerRack[pool.name]) {
+            need.worstRack = std::max(need.worstRack, count);
+        }
+        // A wave holds one host out at least; it pauses when the rack fails, so no more than that adds up.
+        const std::uint32_t waveHosts = std::min<std::uint32_t>(1, need.allowed);
+        const std::uint32_t out = need.worstRack + waveHosts;
+        need.reserve = out - std::min(out, need.allowed);
+        needs.push_back(need);
+    }
+    return needs;
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/entry/include/jujubespool/entry/metrics.h
@@ -0,0 +1,71 @@
+// Counters and histograms of one entry host, as Prometheus text.
+//
+//     metrics.count("requests_total", { "ran" });
+//     metrics.observe(team, request_class::urgent, latency);
+//     reply(metrics.text());
+#pragma once
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cstdint>
+#include <jujubespool/core/configuration.h>
+#include <jujubespool/core/time.h>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace jujubespool {
+
+class metrics
+{
+public:
+    // Adds to a counter with the label outcome="..." or another single label.
+    void count(const std::string &name, const std::string &label, const std::string &value, std::uint64_t by = 1);
+    void gauge(const std::string &name, double value);
+    // Adds a caller's latency to the histogram of the team and class.
+    void observe(const std::string &team, request_class priority, duration latency);
+
+    std::string text() const;
+
+private:
+    using accumulator = boost::accumulators::accumulator_set<
+        double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::max>>;
+    struct counter_key
+    {
+        std::string name;
+        std::string label;
+        std::string value;
+
+        bool operator<(const counter_key &other) const
+        {
+            return std::tie(name, label, value) < std::tie(other.name, other.label, other.value);
+        }
+    };
+    struct histogram
+    {
+        histogram();
+        accumulator all;
+        // One accumulator for each upper bound; each holds the values of its own bucket alone.
+        std::vector<accumulator> buckets;
+    };
+    struct histogram_key
+    {
+        std::string team;
+        request_class priority = request_class::normal;
+
+        bool operator<(const histogram_key &other) const
+        {
+            return std::tie(team, priority) < std::tie(other.team, other.priority);
+        }
+    };
+
+    std::map<counter_key, std::uint64_t> m_counters;
+    std::map<std::string, double> m_gauges;
+    std::map<histogram_key, histogram> m_histograms;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/entry/include/jujubespool/entry/supervisor.h
@@ -0,0 +1,79 @@
+// A tree of components inside the process.
+//
+//     supervisor root("entry");
+//     root.add(frontComponent);
+//     root.start(now);
+//     root.check(now);     // restarts what has failed, with back-off
+//     root.stop();         // in the reverse order of the start
+//
+// A supervisor is a component itself, so trees are built by adding one to another.
+#pragma once
+
+#include <functional>
+#include <jujubespool/core/failure.h>
+#include <jujubespool/core/time.h>
+#include <string>
+#include <vector>
+
+namespace jujubespool {
+
+class component
+{
+public:
+    virtual ~component() = default;
+    virtual std::string name() const = 0;
+    // Starts or restarts. Returns false with the reason when it cannot work now.
+    virtual bool start(failure &reason) = 0;
+    virtual bool healthy(instant now) const = 0;
+    virtual void stop() = 0;
+};
+
+constexpr milliseconds FIRST_RESTART_DELAY{ 100 };
+constexpr milliseconds LONGEST_RESTART_DELAY{ 10000 };
+
+class supervisor : public component
+{
+public:
+    using failure_listener = std::function<void(const std::string &component, const failure &reason)>;
+
+    supervisor(std::string name, failure_listener listener);
+
+    // The component must outlive the supervisor.
+    void add(component &child);
+
+    std::string name() const override
+    {
+        return m_name;
+    }
+    // Starts the children in the order in which they were added. Stops those that started when one fails.
+    bool start(failure &reason) override;
+    bool healthy(instant now) const override;
+    void stop() override;
+
+    // Restarts failed children whose delay is over.
+    void check(instant now);
+
+    std::uint64_t restarts() const
+    {
+        return m_restarts;
+    }
+
+private:
+    struct child_record
+    {
+        component *child = nullptr;
+        bool running = false;
+        milliseconds delay{ FIRST_RESTART_DELAY };
+        instant notBefore;
+        instant runningSince;
+    };
+
+    void restart(child_record &record, instant now);
+
+    std::string m_name;
+    failure_listener m_listener;
+    std::vector<child_record> m_children;
+    std::uint64_t m_restarts = 0;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/entry/src/admin_front.cpp
@@ -0,0 +1,472 @@
+#include <jujubespool/entry/admin_front.h>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fmt/format.h>
+#include <jujubespool/entry/logger.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+
+namespace jujubespool {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int STATUS_OK = 200;
+constexpr int STATUS_BAD_REQUEST = 400;
+constexpr int STATUS_NOT_FOUND = 404;
+constexpr int STATUS_CONFLICT = 409;
+constexpr int STATUS_UNPROCESSABLE = 422;
+constexpr int STATUS_UNAVAILABLE = 503;
+constexpr milliseconds ANSWER_TIMEOUT{ 5000 };
+constexpr std::size_t MAX_ADMIN_BODY = 67108864;
+
+void send(evhttp_request *raw, int status, const std::string &type, const std::string &body)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(raw), "Content-Type", type.c_str());
+    evbuffer *buffer = evbuffer_new();
+    evbuffer_add(buffer, body.data(), body.size());
+    evhttp_send_reply(raw, status, nullptr, buffer);
+    evbuffer_free(buffer);
+}
+
+void sendJson(evhttp_request *raw, int status, const json &body)
+{
+    send(raw, status, "application/json", body.dump(2, ' ', false, json::error_handler_t::replace) + "\n");
+}
+
+void sendError(evhttp_request *raw, int status, const std::string &reason)
+{
+    sendJson(raw, status, { { "error", reason } });
+}
+
+std::vector<std::string> splitPath(const std::string &path)
+{
+    std::vector<std::string> parts;
+    std::size_t begin = 1;
+    while (begin <= path.size()) {
+        const std::size_t end = std::min(path.find('/', begin), path.size());
+        parts.push_back(path.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return parts;
+}
+
+json describeHosts(const fleet_state &state)
+{
+    json hosts = json::array();
+    for (const auto &[name, status] : state.hosts()) {
+        const escrow_account *account = state.ledger().find(workerResource(name));
+        hosts.push_back({ { "name", name },
+                          { "pool", status.pool },
+                          { "state", nameOf(status.state) },
+                          { "move_to_pool", status.moveToPool },
+                          { "wave", status.wave },
+                          { "version", status.version },
+                          { "slots_held", account == nullptr ? 0 : account->totalHeld() } });
+    }
+    return hosts;
+}
+
+json describeWaves(const fleet_state &state, bool logAvailable)
+{
+    json waves = json::array();
+    for (const auto &[name, wave] : state.waves()) {
+        waves.push_back({ { "name", name },
+                          { "kind", wave.start.kind() == wire::WAVE_KIND_ROLL_OUT ? "roll-out" : "maintenance" },
+                          { "state", nameOf(wave.state) },
+                          { "hosts", wave.start.hosts_size() },
+                          { "done", wave.done.size() },
+                          { "failed", wave.failed },
+                          { "excluded", wave.excluded },
+                          { "waits_for", waitReason(state, wave, logAvailable).value_or("") } });
+    }
+    return waves;
+}
+
+json describeBuffer(const fleet_state &state)
+{
+    json pools = json::array();
+    for (const buffer_need &need : planBuffer(state)) {
+        pools.push_back({ { "pool", need.pool },
+                          { "hosts", need.hosts },
+                          { "out_of_service", state.unavailable(need.pool) },
+                          { "may_be_out", need.allowed },
+                          { "worst_rack", need.worstRack },
+                          { "reserve", need.reserve } });
+    }
+    return pools;
+}
+
+} // namespace
+
+admin_front::admin_front(event_loop &loop, admin_parts parts)
+    : m_loop(loop)
+    , m_parts(std::move(parts))
+{
+}
+
+admin_front::~admin_front()
+{
+    stop();
+}
+
+bool admin_front::start(failure &reason)
+{
+    const host_port wanted = *parseAddress(m_address.empty() ? m_parts.settings.adminAddress : m_address);
+    m_server = evhttp_new(m_loop.base());
+    evhttp_set_max_body_size(m_server, static_cast<ev_ssize_t>(MAX_ADMIN_BODY));
+    evhttp_set_gencb(m_server, onRequest, this);
+    evhttp_bound_socket *bound = evhttp_bind_socket_with_handle(m_server, wanted.host.c_str(), wanted.port);
+    if (bound == nullptr) {
+        reason = { step::control, m_parts.settings.adminAddress, "the admin address cannot be bound" };
+        stop();
+        return false;
+    }
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr *>(&address), &size);
+    m_address = fmt::format("{}:{}", wanted.host, ntohs(address.sin_port));
+    return true;
+}
+
+bool admin_front::healthy(instant) const
+{
+    return m_server != nullptr;
+}
+
+void admin_front::stop()
+{
+    if (m_server != nullptr) {
+        evhttp_free(m_server);
+        m_server = nullptr;
+    }
+}
+
+std::string admin_front::admin_request::query(const char *name) const
+{
+    const char *text = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(raw));
+    evkeyvalq parameters{};
+    if (text == nullptr || evhttp_parse_query_str(text, &parameters) != 0) {
+        return {};
+    }
+    const char *value = evhttp_find_header(&parameters, name);
+    std::string result = value == nullptr ? "" : value;
+    evhttp_clear_headers(&parameters);
+    return result;
+}
+
+void admin_front::onRequest(evhttp_request *raw, void *self)
+{
+    admin_request request;
+    request.raw = raw;
+    request.post = evhttp_request_get_command(raw) == EVHTTP_REQ_POST;
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(raw));
+    request.path = splitPath(path == nullptr ? "/" : path);
+    evbuffer *body = evhttp_request_get_input_buffer(raw);
+    request.body.resize(evbuffer_get_length(body));
+    evbuffer_copyout(body, request.body.data(), request.body.size());
+    auto *front = static_cast<admin_front *>(self);
+    try {
+        front->route(request);
+    } catch (const json::exception &error) {
+        sendError(raw, STATUS_BAD_REQUEST, error.what());
+    }
+}
+
+void admin_front::route(const admin_request &request)
+{
+    const std::vector<std::string> &path = request.path;
+    const std::string &first = path.at(0);
+    const std::string second = path.size() > 1 ? path[1] : "";
+    const fleet_state &state = m_parts.session.state();
+    if (!request.post) {
+        if (first == "healthz") {
+            send(request.raw, STATUS_OK, "text/plain", "ok\n");
+        } else if (first == "readyz") {
+            const bool ready = m_parts.ready();
+            send(request.raw, ready ? STATUS_OK : STATUS_UNAVAILABLE, "text/plain", ready ? "ready\n" : "not ready\n");
+        } else if (first == "metrics") {
+            showMetrics(request);
+        } else if (first == "status") {
+            showStatus(request);
+        } else if (first == "v1" && second == "config") {
+            sendJson(request.raw, STATUS_OK, { { "offset", state.editionOffset() }, { "text", state.editionText() } });
+        } else if (first == "v1" && second == "hosts") {
+            sendJson(request.raw, STATUS_OK, { { "hosts", describeHosts(state) } });
+        } else if (first == "v1" && second == "waves") {
+            sendJson(request.raw, STATUS_OK, { { "waves", describeWaves(state, m_parts.session.logAvailable(m_loop.now())) } });
+        } else {
+            sendError(request.raw, STATUS_NOT_FOUND, "unknown path");
+        }
+        return;
+    }
+    if (second == "config") {
+        publish(request);
+    } else if (second == "keys") {
+        changeKey(request);
+    } else if (second == "hosts" && path.size() == 4) {
+        changeHost(request);
+    } else if (second == "waves" && path.size() == 2) {
+        startWave(request);
+    } else if (second == "waves" && path.size() == 3 && path[2] == "plan") {
+        planWaveOnly(request);
+    } else if (second == "waves" && path.size() == 4) {
+        controlWave(request);
+    } else if (second == "faults" && m_parts.settings.allowFaults) {
+        setFaults(request);
+    } else {
+        sendError(request.raw, STATUS_NOT_FOUND, "unknown path");
+    }
+}
+
+void admin_front::showStatus(const admin_request &request)
+{
+    const fleet_state &state = m_parts.session.state();
+    const instant now = m_loop.now();
+    json members = json::array();
+    for (const auto &[id, session] : state.sessions()) {
+        const bool own = id == m_parts.session.id();
+        members.push_back({ { "session", fmt::format("{:x}", id) },
+                            { "host", session.open.host() },
+                            { "data_center", session.open.data_center() },
+                            { "ended", session.ended },
+                            { "suspected", !own && !session.ended && m_parts.peers.isSuspected(id, now) } });
+    }
+    json teams = json::array();
+    for (const team_spec &team : state.config().teams) {
+        const std::string resource = teamResource(team.name);
+        teams.push_back({ { "team", team.name },
+                          { "share", team.share },
+                          { "limit", team.limit },
+                          { "held", state.ledger().heldBy(resource, m_parts.session.id()) },
+                          { "in_use", m_parts.wallet.inUse(resource) },
+                          { "lent", m_parts.wallet.lentOut(resource, now) },
+                          { "borrowed", m_parts.wallet.borrowed(resource, now) } });
+    }
+    const json body{
+        { "host", m_parts.settings.host },
+        { "data_center", m_parts.settings.dataCenter },
+        { "session", fmt::format("{:x}", m_parts.session.id()) },
+        { "ready", m_parts.ready() },
+        { "drives_maintenance", m_parts.driver.drives(now) },
+        { "log",
+          { { "next_offset", m_parts.session.replay().nextOffset() },
+            { "age_ms", duration_cast<milliseconds>(m_parts.session.age(now)).count() },
+            { "available", m_parts.session.logAvailable(now) },
+            { "unconfirmed", m_parts.session.pending() },
+            { "snapshot_offset", m_parts.session.replay().snapshotOffset() } } },
+        { "edition", state.editionOffset() },
+        { "members", members },
+        { "teams", teams },
+        { "queues",
+          { { "waiting", m_parts.work.waiting() }, { "running", m_parts.work.running() }, { "lingering", m_parts.work.lingering() } } },
+        { "claims", state.claimCount() },
+        { "ejected_workers", m_parts.work.ejectedWorkers() },
+        { "pools", describeBuffer(state) }
+    };
+    sendJson(request.raw, STATUS_OK, body);
+}
+
+void admin_front::showMetrics(const admin_request &request)
+{
+    metrics &figures = m_parts.figures;
+    const instant now = m_loop.now();
+    figures.gauge("log_age_seconds", static_cast<double>(m_parts.session.age(now).count()) / 1e6);
+    figures.gauge("log_next_offset", static_cast<double>(m_parts.session.replay().nextOffset()));
+    figures.gauge("records_undecodable", static_cast<double>(m_parts.session.replay().undecodable()));
+    figures.gauge("records_rejected", static_cast<double>(m_parts.session.rejectedCount()));
+    figures.gauge("requests_waiting", static_cast<double>(m_parts.work.waiting()));
+    figures.gauge("requests_running", static_cast<double>(m_parts.work.running()));
+    figures.gauge("answers_kept_bytes", static_cast<double>(m_parts.store.bytes()));
+    figures.gauge("peer_bytes_sent", static_cast<double>(m_parts.peers.sentBytes()));
+    figures.gauge("loans_received", static_cast<double>(m_parts.loans.grantsReceived()));
+    send(request.raw, STATUS_OK, "text/plain; version=0.0.4", figures.text());
+}
+
+log_session::settled admin_front::answerer(evhttp_request *raw)
+{
+    const std::uint64_t token = ++m_lastAnswer;
+    m_open[token] = raw;
+    m_loop.after(ANSWER_TIMEOUT, [this, token] {
+        const auto found = m_open.find(token);
+        if (found != m_open.end()) {
+            sendError(found->second, STATUS_UNAVAILABLE, "the log has not confirmed the change; it may still take effect");
+            m_open.erase(found);
+        }
+    });
+    return [this, token](const applied &result) {
+        const auto found = m_open.find(token);
+        if (found == m_open.end()) {
+            return;
+        }
+        const bool accepted = result.verdict == apply_verdict::accepted;
+        const json body{ { "accepted", accepted }, { "reason", result.reason }, { "offset", m_parts.session.replay().nextOffset() } };
+        sendJson(found->second, accepted ? STATUS_OK : STATUS_CONFLICT, body);
+        m_open.erase(found);
+    };
+}
+
+void admin_front::proposeAndAnswer(const admin_request &request, wire::record record)
+{
+    m_parts.session.propose(std::move(record), answerer(request.raw));
+}
+
+void admin_front::publish(const admin_request &request)
+{
+    std::vector<config_problem> problems;
+    if (!parseConfiguration(request.body, problems)) {
+        json list = json::array();
+        for (const config_problem &problem : problems) {
+            list.push_back({ { "line", problem.line }, { "message", problem.message } });
+        }
+        sendJson(request.raw, STATUS_UNPROCESSABLE, { { "error", "the configuration is invalid" }, { "problems", list } });
+        return;
+    }
+    const std::string base = request.query("base");
+    if (base.empty() || base.size() > 18 || base.find_first_not_of("0123456789") != std::string::npos) {
+        sendError(request.raw, STATUS_BAD_REQUEST, "base must be the offset of the edition that was edited; 0 for the first");
+        return;
+    }
+    wire::record record;
+    record.mutable_publish()->set_base(std::stoull(base));
+    record.mutable_publish()->set_text(request.body);
+    const log_session::settled answer = answerer(request.raw);
+    const std::uint64_t token = m_lastAnswer;
+    m_parts.session.propose(std::move(record), [this, token, answer, text = request.body](const applied &result) {
+        const auto found = m_open.find(token);
+        if (result.verdict == apply_verdict::accepted || found == m_open.end()) {
+            answer(result);
+            return;
+        }
+        const fleet_state &state = m_parts.session.state();
+        sendJson(
+            found->second, STATUS_CONFLICT,
+            { { "error", result.reason }, { "offset", state.editionOffset() }, { "difference", differenceOf(state.editionText(), text) } });
+        m_open.erase(found);
+    });
+}
+
+void admin_front::changeKey(const admin_request &request)
+{
+    const json body = json::parse(request.body);
+    const std::string team = body.at("team");
+    const std::string hash = body.at("hash");
+    if (body.value("withdrawn", false)) {
+        // The key stops working before the log has answered, so the operator is told at once.
+        m_parts.keys.withdraw(team, hash, {});
+        sendJson(request.raw, STATUS_OK, { { "accepted", true }, { "reason", "withdrawn here and at every peer that can be reached" } });
+        return;
+    }
+    m_parts.keys.grant(team, hash, answerer(request.raw));
+}
+
+void admin_front::changeHost(const admin_request &request)
+{
+    const std::string &host = request.path[2];
+    const std::string &verb = request.path[3];
+    wire::record record;
+    if (verb == "undrain") {
+        record.mutable_undrain()->set_host(host);
+    } else if (verb == "drain" || verb == "move") {
+        record.mutable_drain()->set_host(host);
+        if (verb == "move") {
+            record.mutable_drain()->set_move_to_pool(json::parse(request.body).at("pool").get<std::string>());
+        }
+    } else {
+        sendError(request.raw, STATUS_NOT_FOUND, "unknown action");
+        return;
+    }
+    proposeAndAnswer(request, std::move(record));
+}
+
+std::optional<wire::wave_start> admin_front::parseWave(const admin_request &request) const
+{
+    const json body = json::parse(request.body);
+    wire::wave_start start;
+    start.set_name(body.value("name", ""));
+    start.set_kind(body.value("kind", "") == "roll-out" ? wire::WAVE_KIND_ROLL_OUT : wire::WAVE_KIND_MAINTENANCE);
+    start.set_version(body.value("version", ""));
+    const json hosts = body.value("hosts", json::array());
+    for (const json &host : hosts) {
+        start.add_hosts(host.get<std::string>());
+    }
+    if (start.hosts_size() > 0) {
+        return start;
+    }
+    const std::string pool = body.value("pool", "");
+    for (const auto &[name, status] : m_parts.session.state().hosts()) {
+        if (pool.empty() || status.pool == pool) {
+            start.add_hosts(name);
+        }
+    }
+    return start.hosts_size() > 0 ? std::optional(start) : std::nullopt;
+}
+
+void admin_front::startWave(const admin_request &request)
+{
+    const auto start = parseWave(request);
+    if (!start) {
+        sendError(request.raw, STATUS_BAD_REQUEST, "the wave names no host");
+        return;
+    }
+    wire::record record;
+    *record.mutable_wave() = *start;
+    proposeAndAnswer(request, std::move(record));
+}
+
+void admin_front::planWaveOnly(const admin_request &request)
+{
+    const auto start = parseWave(request);
+    if (!start) {
+        sendError(request.raw, STATUS_BAD_REQUEST, "the wave names no host");
+        return;
+    }
+    const std::vector<std::string> hosts(start->hosts().begin(), start->hosts().end());
+    const wave_plan plan = planWave(m_parts.session.state(), hosts, {});
+    json rounds = json::array();
+    for (const wave_round &round : plan.rounds) {
+        rounds.push_back(round.hosts);
+    }
+    sendJson(request.raw, STATUS_OK,
+             { { "rounds", rounds },
+               { "lower_bound", plan.lowerBound },
+               { "predicted_ms", plan.predicted.count() },
+               { "impossible", plan.impossible } });
+}
+
+void admin_front::controlWave(const admin_request &request)
+{
+    const std::string &verb = request.path[3];
+    wire::record record;
+    wire::wave_control &control = *record.mutable_control();
+    control.set_name(request.path[2]);
+    const json body = request.body.empty() ? json::object() : json::parse(request.body);
+    control.set_host(body.value("host", ""));
+    control.set_reason(body.value("reason", "by an operator"));
+    if (verb == "pause") {
+        control.set_action(wire::WAVE_ACTION_PAUSE);
+    } else if (verb == "resume") {
+        control.set_action(wire::WAVE_ACTION_RESUME);
+    } else if (verb == "cancel") {
+        control.set_action(wire::WAVE_ACTION_CANCEL);
+    } else if (verb == "exclude") {
+        control.set_action(wire::WAVE_ACTION_EXCLUDE);
+    } else {
+        sendError(request.raw, STATUS_NOT_FOUND, "unknown action");
+        return;
+    }
+    proposeAndAnswer(request, std::move(record));
+}
+
+void admin_front::setFaults(const admin_request &request)
+{
+    const json body = json::parse(request.body);
+    m_parts.peers.setCut(body.value("cut_peers", false));
+    sendJson(request.raw, STATUS_OK, body);
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/entry/src/caller_front.cpp
@@ -0,0 +1,316 @@
+#include <jujubespool/entry/caller_front.h>
+
+#include <arpa/inet.h>
+#include <evhtp.h>
+#include <fmt/format.h>
+#include <jujubespool/entry/logger.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <strings.h>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr int BACKLOG = 1024;
+constexpr int STATUS_OK = 200;
+constexpr int STATUS_BAD_REQUEST = 400;
+constexpr int STATUS_NOT_FOUND = 404;
+constexpr int STATUS_METHOD_NOT_ALLOWED = 405;
+constexpr int STATUS_TOO_LARGE = 413;
+// A body that goes on beyond its bound is read and dropped up to this many times the bound.
+constexpr std::uint64_t MAX_DROPPED_BODIES = 8;
+const std::string SERVICE_PREFIX = "/v1/services/";
+const std::string KEY_PATH = "/v1/idempotency-keys";
+
+// Header fields that have to be unique, or two readers might understand the request differently.
+std::size_t countHeader(evhtp_headers_t *headers, const char *name)
+{
+    struct counter
+    {
+        const char *name;
+        std::size_t count;
+    } found{ name, 0 };
+    const auto visit = [](evhtp_kv_t *item, void *argument) {
+        auto &target = *static_cast<counter *>(argument);
+        target.count += strcasecmp(item->key, target.name) == 0 ? 1 : 0;
+        return 0;
+    };
+    evhtp_kvs_for_each(headers, visit, &found);
+    return found.count;
+}
+
+std::string headerValue(evhtp_headers_t *headers, const char *name)
+{
+    const char *value = evhtp_kv_find(headers, name);
+    return value == nullptr ? std::string() : value;
+}
+
+// libevhtp takes hooks of every kind through one function type.
+template <typename Hook> evhtp_hook toHook(Hook hook)
+{
+    return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(hook));
+}
+
+bool isDigits(const std::string &text)
+{
+    return !text.empty() && text.find_first_not_of("0123456789") == std::string::npos;
+}
+
+} // namespace
+
+struct caller_front::exchange
+{
+    caller_front *front = nullptr;
+    evhtp_request_t *request = nullptr;
+    request_id id = 0;
+    bool paused = false;
+    // Set when the request is refused before it is complete; 0 otherwise.
+    int refusedStatus = 0;
+    std::string refusedReason;
+    std::uint64_t bodyBytes = 0;
+
+    void refuse(int status, std::string reason)
+    {
+        if (refusedStatus == 0) {
+            refusedStatus = status;
+            refusedReason = std::move(reason);
+        }
+    }
+
+    static exchange &of(caller_front *front, evhtp_request_t *request)
+    {
+        std::unique_ptr<exchange> &item = front->m_exchanges[request];
+        if (!item) {
+            item = std::make_unique<exchange>();
+            item->front = front;
+            item->request = request;
+            evhtp_request_set_hook(request, evhtp_hook_on_request_fini, toHook(onFini), front);
+        }
+        return *item;
+    }
+
+    static evhtp_res onHeaders(evhtp_request_t *request, evhtp_headers_t *headers, void *argument)
+    {
+        exchange &item = of(static_cast<caller_front *>(argument), request);
+        const std::size_t lengths = countHeader(headers, "Content-Length");
+        const std::size_t codings = countHeader(headers, "Transfer-Encoding");
+        const std::string length = headerValue(headers, "Content-Length");
+        if (lengths + codings > 1) {
+            item.refuse(STATUS_BAD_REQUEST, "the length of the body is stated twice");
+        } else if (lengths == 1 && !isDigits(length)) {
+            item.refuse(STATUS_BAD_REQUEST, "Content-Length is not a number");
+        } else if (lengths == 1 && (length.size() > 15 || std::stoull(length) > item.front->m_settings.maxBodyBytes)) {
+            item.refuse(STATUS_TOO_LARGE, "the body is too large");
+        } else if (countHeader(headers, "Authorization") > 1 || countHeader(headers, "Idempotency-Key") > 1) {
+            item.refuse(STATUS_BAD_REQUEST, "Authorization and Idempotency-Key may be given once");
+        }
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res onRead(evhtp_request_t *request, evbuffer *data, void *argument)
+    {
+        exchange &item = of(static_cast<caller_front *>(argument), request);
+        const std::uint64_t bound = item.front->m_settings.maxBodyBytes;
+        item.bodyBytes += evbuffer_get_length(data);
+        if (item.bodyBytes > bound) {
+            item.refuse(STATUS_TOO_LARGE, "the body is too large");
+        }
+        if (item.refusedStatus != 0) {
+            evbuffer_drain(data, evbuffer_get_length(data));
+        }
+        return item.bodyBytes > bound * MAX_DROPPED_BODIES ? EVHTP_RES_ERROR : EVHTP_RES_OK;
+    }
+
+    static evhtp_res onFini(evhtp_request_t *request, void *argument)
+    {
+        auto *front = static_cast<caller_front *>(argument);
+        const auto found = front->m_exchanges.find(request);
+        if (found != front->m_exchanges.end()) {
+            const request_id id = found->second->id;
+            front->m_exchanges.erase(found);
+            front->m_router.cancel(id);
+        }
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res onAccept(evhtp_connection_t *connection, void *argument)
+    {
+        evhtp_connection_set_hook(connection, evhtp_hook_on_headers, toHook(onHeaders), argument);
+        evhtp_connection_set_hook(connection, evhtp_hook_on_read, toHook(onRead), argument);
+        return EVHTP_RES_OK;
+    }
+
+    static void onRequest(evhtp_request_t *request, void *argument)
+    {
+        auto *front = static_cast<caller_front *>(argument);
+        front->onComplete(of(front, request));
+    }
+};
+
+caller_front::caller_front(event_loop &loop, request_router &router, metrics &figures, const entry_settings &settings)
+    : m_loop(loop)
+    , m_router(router)
+    , m_figures(figures)
+    , m_settings(settings)
+{
+}
+
+caller_front::~caller_front()
+{
+    stop();
+}
+
+bool caller_front::start(failure &reason)
+{
+    m_server = evhtp_new(m_loop.base(), nullptr);
+    m_server->flags |= EVHTP_FLAG_ENABLE_NODELAY;
+    evhtp_set_gencb(m_server, exchange::onRequest, this);
+    evhtp_set_post_accept_cb(m_server, exchange::onAccept, this);
+    const host_port wanted = *parseAddress(m_address.empty() ? m_settings.callerAddress : m_address);
+    if (evhtp_bind_socket(m_server, wanted.host.c_str(), wanted.port, BACKLOG) != 0) {
+        reason = { step::control, m_settings.callerAddress, "the caller address cannot be bound" };
+        evhtp_free(m_server);
+        m_server = nullptr;
+        return false;
+    }
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    getsockname(evconnlistener_get_fd(m_server->server), reinterpret_cast<sockaddr *>(&bound), &size);
+    m_address = fmt::format("{}:{}", wanted.host, ntohs(bound.sin_port));
+    return true;
+}
+
+bool caller_front::healthy(instant) const
+{
+    return m_server != nullptr;
+}
+
+void caller_front::closeListener()
+{
+    if (m_server != nullptr && m_server->server != nullptr) {
+        evconnlistener_disable(m_server->server);
+    }
+}
+
+void caller_front::stop()
+{
+    if (m_server != nullptr) {
+        evhtp_unbind_socket(m_server);
+        evhtp_free(m_server);
+        m_server = nullptr;
+    }
+}
+
+caller_request caller_front::readRequest(exchange &item, failure &reason, int &status) const
+{
+    caller_request result;
+    evhtp_request_t *request = item.request;
+    const std::string path = request->uri != nullptr && request->uri->path != nullptr ? request->uri->path->full : "";
+    if (item.refusedStatus != 0) {
+        status = item.refusedStatus;
+        reason = { step::parse, {}, item.refusedReason };
+        return result;
+    }
+    if (request->method != htp_method_GET && request->method != htp_method_POST) {
+        status = STATUS_METHOD_NOT_ALLOWED;
+        reason = { step::parse, {}, "only GET and POST are served" };
+        return result;
+    }
+    if (path.compare(0, SERVICE_PREFIX.size(), SERVICE_PREFIX) != 0) {
+        status = STATUS_NOT_FOUND;
+        reason = { step::parse, {}, "the path must begin with " + SERVICE_PREFIX };
+        return result;
+    }
+    const std::size_t end = path.find('/', SERVICE_PREFIX.size());
+    result.service = path.substr(SERVICE_PREFIX.size(), end == std::string::npos ? end : end - SERVICE_PREFIX.size());
+    result.path = end == std::string::npos ? "/" : path.substr(end);
+    if (request->uri->query_raw != nullptr && *request->uri->query_raw != '\0') {
+        result.path += std::string("?") + reinterpret_cast<const char *>(request->uri->query_raw);
+    }
+    result.method = request->method == htp_method_GET ? http_method::get : http_method::post;
+    const auto visit = [](evhtp_kv_t *header, void *argument) {
+        static_cast<std::vector<http_header> *>(argument)->push_back({ header->key, header->val });
+        return 0;
+    };
+    evhtp_kvs_for_each(request->headers_in, visit, &result.headers);
+    result.body.resize(evbuffer_get_length(request->buffer_in));
+    evbuffer_copyout(request->buffer_in, result.body.data(), result.body.size());
+    const std::string authorization = headerValue(request->headers_in, "Authorization");
+    if (strncasecmp(authorization.c_str(), "Bearer ", 7) == 0) {
+        result.key = authorization.substr(7);
+    }
+    result.idempotencyKey = headerValue(request->headers_in, "Idempotency-Key");
+    result.priority = headerValue(request->headers_in, "Jujubespool-Class");
+    result.timeoutMs = headerValue(request->headers_in, "Jujubespool-Timeout-Ms");
+    return result;
+}
+
+void caller_front::onComplete(exchange &item)
+{
+    evhtp_request_t *request = item.request;
+    const std::string path = request->uri != nullptr && request->uri->path != nullptr ? request->uri->path->full : "";
+    if (item.refusedStatus == 0 && request->method == htp_method_POST && path == KEY_PATH) {
+        caller_answer answer;
+        answer.status = STATUS_OK;
+        answer.headers.push_back({ "Content-Type", "application/json" });
+        answer.body = nlohmann::json{ { "key", m_router.issueKey() } }.dump();
+        respond(item, answer);
+        return;
+    }
+    failure reason;
+    int status = 0;
+    caller_request parsed = readRequest(item, reason, status);
+    if (status != 0) {
+        caller_answer answer;
+        answer.status = status;
+        answer.headers.push_back({ "Content-Type", "application/problem+json" });
+        const nlohmann::json body{ { "type", "about:blank" },       { "title", reason.reason }, { "status", status },
+                                   { "step", nameOf(reason.step) }, { "peer", reason.peer },    { "outcome", nameOf(outcome::not_run) } };
+        answer.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        m_figures.count("requests_total", "outcome", "not-run");
+        respond(item, answer);
+        return;
+    }
+    // The caller may go away before the answer; its exchange is looked up again then.
+    const request_id id = m_router.onRequest(std::move(parsed), [this, request](const caller_answer &answer) {
+        const auto found = m_exchanges.find(request);
+        if (found != m_exchanges.end()) {
+            respond(*found->second, answer);
+        }
+    });
+    const auto found = m_exchanges.find(request);
+    if (found != m_exchanges.end()) {
+        found->second->id = id;
+        found->second->paused = true;
+        evhtp_request_pause(request);
+    }
+}
+
+void caller_front::respond(exchange &item, const caller_answer &answer)
+{
+    evhtp_request_t *request = item.request;
+    const auto add = [request](const std::string &name, const std::string &value) {
+        evhtp_headers_add_header(request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+    };
+    for (const http_header &header : answer.headers) {
+        add(header.name, header.value);
+    }
+    add("Jujubespool-Outcome", std::string(nameOf(answer.outcome)));
+    if (item.refusedStatus != 0) {
+        // What follows on the connection cannot be trusted to be a request.
+        add("Connection", "close");
+        request->flags &= static_cast<std::uint16_t>(~EVHTP_REQ_FLAG_KEEPALIVE);
+    }
+    evbuffer_add(request->buffer_out, answer.body.data(), answer.body.size());
+    const bool paused = item.paused;
+    item.id = 0;
+    m_exchanges.erase(request);
+    evhtp_request_unset_hook(request, evhtp_hook_on_request_fini);
+    evhtp_send_reply(request, static_cast<evhtp_res>(answer.status));
+    if (paused) {
+        evhtp_request_resume(request);
+    }
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/entry/src/event_loop.cpp
@@ -0,0 +1,92 @@
+#include <jujubespool/entry/event_loop.h>
+
+#include <chrono>
+
+namespace jujubespool {
+
+namespace {
+
+timeval toTimeval(milliseconds time)
+{
+    return { static_cast<time_t>(time.count() / 1000), static_cast<suseconds_t>(time.count() % 1000 * 1000) };
+}
+
+} // namespace
+
+event_loop::event_loop()
+{
+    event_config *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    m_base = event_base_new_with_config(config);
+    event_config_free(config);
+}
+
+event_loop::~event_loop()
+{
+    for (const auto &item : m_handlers) {
+        event_free(item->source);
+    }
+    event_base_free(m_base);
+}
+
+instant event_loop::now() const
+{
+    return instant(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+wall_ms event_loop::wallNow() const
+{
+    return static_cast<wall_ms>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
+event_loop::handler &event_loop::addHandler(std::function<void()> call)
+{
+    m_handlers.push_back(std::make_unique<handler>());
+    m_handlers.back()->call = std::move(call);
+    return *m_handlers.back();
+}
+
+void event_loop::onEvent(evutil_socket_t, short, void *argument)
+{
+    static_cast<handler *>(argument)->call();
+}
+
+void event_loop::repeat(milliseconds interval, std::function<void()> call)
+{
+    handler &item = addHandler(std::move(call));
+    item.source = event_new(m_base, -1, EV_PERSIST, onEvent, &item);
+    const timeval time = toTimeval(interval);
+    event_add(item.source, &time);
+}
+
+void event_loop::after(milliseconds delay, std::function<void()> call)
+{
+    const auto runOnce = [](evutil_socket_t, short, void *argument) {
+        const std::unique_ptr<std::function<void()>> owned(static_cast<std::function<void()> *>(argument));
+        (*owned)();
+    };
+    const timeval time = toTimeval(delay);
+    auto owned = std::make_unique<std::function<void()>>(std::move(call));
+    if (event_base_once(m_base, -1, EV_TIMEOUT, runOnce, owned.get(), &time) == 0) {
+        static_cast<void>(owned.release());
+    }
+}
+
+void event_loop::onSignal(int signal, std::function<void()> call)
+{
+    handler &item = addHandler(std::move(call));
+    item.source = evsignal_new(m_base, signal, onEvent, &item);
+    event_add(item.source, nullptr);
+}
+
+void event_loop::run()
+{
+    event_base_dispatch(m_base);
+}
+
+void event_loop::stop()
+{
+    event_base_loopbreak(m_base);
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/entry/src/loan_desk.cpp
@@ -0,0 +1,162 @@
+#include <jujubespool/entry/loan_desk.h>
+
+#include <algorithm>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr milliseconds ASK_INTERVAL{ 25 };
+// A request that could not be served is remembered this long; the peer asks again if it still waits.
+constexpr milliseconds REQUEST_LIFETIME{ 100 };
+// Difference of virtual times below which slots stay where they are, in microseconds per unit of share.
+constexpr double VIRTUAL_TIME_HYSTERESIS = 2000;
+
+std::string subjectOf(const wire::loan_request &request)
+{
+    return request.team().empty() ? "pool/" + request.pool() : "team/" + request.team();
+}
+
+} // namespace
+
+loan_desk::loan_desk(event_loop &loop, log_session &session, peer_group &peers, permit_wallet &wallet, dispatcher &work)
+    : m_loop(loop)
+    , m_session(session)
+    , m_peers(peers)
+    , m_wallet(wallet)
+    , m_work(work)
+{
+    peers.subscribe(wire::peer_message::kLoanAsk,
+                    [this](const wire::peer_message &message) { onRequest(message.from_session(), message.loan_ask()); });
+    peers.subscribe(wire::peer_message::kLoan,
+                    [this](const wire::peer_message &message) { onGrant(message.from_session(), message.loan()); });
+    peers.subscribe(wire::peer_message::kReturned,
+                    [this](const wire::peer_message &message) { m_wallet.onReturned(message.from_session(), message.returned()); });
+}
+
+void loan_desk::ask(instant now)
+{
+    const std::vector<session_id> peers = m_peers.reachable(now);
+    std::erase_if(m_asked, [now](const auto &item) { return now - item.second.askedAt > LOAN_DURATION; });
+    if (peers.empty()) {
+        return;
+    }
+    for (const permit_want &want : m_work.wants(m_session.state(), now)) {
+        wire::peer_message message;
+        wire::loan_request &request = *message.mutable_loan_ask();
+        request.set_team(want.team);
+        request.set_pool(want.pool);
+        request.set_virtual_time(want.virtualTime);
+        const auto count = static_cast<std::uint32_t>(peers.size());
+        request.set_count((want.count + count - 1) / count);
+        instant &last = m_lastAsked[subjectOf(request)];
+        if (now - last < ASK_INTERVAL) {
+            continue;
+        }
+        last = now;
+        for (const session_id peer : peers) {
+            request.set_token(++m_lastToken);
+            m_asked[m_lastToken] = { peer, now };
+            m_peers.send(peer, message);
+        }
+    }
+}
+
+void loan_desk::onRequest(session_id from, const wire::loan_request &request)
+{
+    const instant now = m_loop.now();
+    if (!tryLend(from, request, now)) {
+        m_waiting[{ from, subjectOf(request) }] = { request, now };
+    }
+}
+
+// Work of this host goes first, unless the peer's team has had less of its share.
+bool loan_desk::mayLend(const wire::loan_request &request) const
+{
+    if (!request.team().empty()) {
+        return !m_work.needs(teamResource(request.team()), m_session.state());
+    }
+    const std::optional<double> own = m_work.headVirtualTime(request.pool());
+    return !own || request.virtual_time() + VIRTUAL_TIME_HYSTERESIS < *own;
+}
+
+std::vector<wire::permit_entry> loan_desk::lendable(const wire::loan_request &request, instant now) const
+{
+    std::vector<wire::permit_entry> entries;
+    const escrow_ledger &ledger = m_session.state().ledger();
+    std::uint32_t left = request.count();
+    const auto add = [&](const std::string &resource) {
+        const std::uint32_t count = std::min(left, m_wallet.usable(resource, ledger, now));
+        if (count > 0) {
+            wire::permit_entry &entry = entries.emplace_back();
+            entry.set_resource(resource);
+            entry.set_count(count);
+            left -= count;
+        }
+    };
+    if (!request.team().empty()) {
+        add(teamResource(request.team()));
+        return entries;
+    }
+    for (const std::string &worker : m_work.workersOf(request.pool(), m_session.state())) {
+        if (left > 0) {
+            add(workerResource(worker));
+        }
+    }
+    return entries;
+}
+
+bool loan_desk::tryLend(session_id borrower, const wire::loan_request &request, instant now)
+{
+    if (!mayLend(request)) {
+        return false;
+    }
+    wire::peer_message message;
+    wire::loan_grant &grant = *message.mutable_loan();
+    const duration longestRun = m_session.state().config().longestRun();
+    grant = m_wallet.lend(borrower, lendable(request, now), m_session.state().ledger(), longestRun, now);
+    if (grant.entries_size() == 0) {
+        return false;
+    }
+    grant.set_token(request.token());
+    m_peers.send(borrower, message);
+    return true;
+}
+
+void loan_desk::serveWaiting(instant now)
+{
+    std::erase_if(m_waiting, [&](const auto &item) {
+        const bool old = now - item.second.receivedAt > REQUEST_LIFETIME;
+        return old || tryLend(item.first.first, item.second.request, now);
+    });
+}
+
+void loan_desk::onGrant(session_id from, const wire::loan_grant &grant)
+{
+    const auto asked = m_asked.find(grant.token());
+    if (asked == m_asked.end() || asked->second.lender != from) {
+        // Too late to know when it was asked for; the lender waits until its end.
+        return;
+    }
+    ++m_received;
+    m_wallet.borrow(from, grant, asked->second.askedAt, m_loop.now());
+    m_asked.erase(asked);
+    if (m_arrival) {
+        m_arrival();
+    }
+}
+
+void loan_desk::settle(instant now)
+{
+    const fleet_state &state = m_session.state();
+    const auto keep = [&](const std::string &resource) {
+        return m_work.needs(resource, state);
+    };
+    for (const permit_return &item : m_wallet.settleLoans(state.ledger(), keep, now)) {
+        wire::peer_message message;
+        *message.mutable_returned() = item.message;
+        m_peers.send(item.lender, message);
+    }
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/entry/src/main.cpp
@@ -0,0 +1,78 @@
+// jujubespoold: the entry host's process.
+#include <csignal>
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+#include <jujubespool/entry/entry_host.h>
+#include <jujubespool/entry/logger.h>
+
+namespace {
+
+const char USAGE[] = R"(jujubespoold - entry host of a jujubespool fleet.
+
+Usage:
+  jujubespoold --settings=FILE [--log-level=LEVEL] [--check]
+  jujubespoold (-h | --help)
+  jujubespoold --version
+
+Options:
+  --settings=FILE    Settings of this entry host, in YAML.
+  --log-level=LEVEL  Least level that is logged: debug, info, warning or error [default: info].
+  --check            Only check the settings.
+  -h --help          Show this text.
+  --version          Show the version.
+)";
+
+int exitWith(jujubespool::exit_code code)
+{
+    return static_cast<int>(code);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    using namespace jujubespool;
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(USAGE, { argv + 1, argv + argc }, true, true);
+    } catch (const docopt::DocoptExitHelp &) {
+        fmt::print("{}", USAGE);
+        return exitWith(exit_code::stopped);
+    } catch (const docopt::DocoptExitVersion &) {
+        fmt::print("jujubespoold {}\n", JUJUBESPOOL_VERSION);
+        return exitWith(exit_code::stopped);
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "jujubespoold: {}\n{}", error.what(), USAGE);
+        return exitWith(exit_code::usage);
+    }
+    const auto level = valueOf<log_level>(arguments["--log-level"].asString());
+    if (!level) {
+        fmt::print(stderr, "jujubespoold: --log-level must be debug, info, warning or error\n");
+        return exitWith(exit_code::usage);
+    }
+    setLogLevel(*level);
+    const std::string path = arguments["--settings"].asString();
+    std::vector<config_problem> problems;
+    const auto settings = readSettings(path, problems);
+    if (!settings) {
+        for (const config_problem &problem : problems) {
+            fmt::print(stderr, "{}:{}: {}\n", path, problem.line, problem.message);
+        }
+        return exitWith(exit_code::usage);
+    }
+    if (arguments["--check"].asBool()) {
+        return exitWith(exit_code::stopped);
+    }
+    event_loop loop;
+    entry_host host(loop, *settings);
+    loop.onSignal(SIGTERM, [&host] { host.stopGracefully(); });
+    loop.onSignal(SIGINT, [&host] { host.stopGracefully(); });
+    signal(SIGPIPE, SIG_IGN);
+    failure reason;
+    if (!host.start(reason)) {
+        logFailure(log_level::error, "start-failed", reason);
+        return exitWith(host.exitCode());
+    }
+    loop.run();
+    return exitWith(host.exitCode());
+}
--- /dev/null
+++ b/packages/entry/src/metrics.cpp
@@ -0,0 +1,73 @@
+#include <jujubespool/entry/metrics.h>
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+namespace jujubespool {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+// Upper bounds of the latency histogram's buckets, in seconds.
+constexpr std::array<double, 14> BUCKETS_S{ 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10 };
+
+} // namespace
+
+metrics::histogram::histogram()
+    : buckets(BUCKETS_S.size())
+{
+}
+
+void metrics::count(const std::string &name, const std::string &label, const std::string &value, std::uint64_t by)
+{
+    m_counters[{ name, label, value }] += by;
+}
+
+void metrics::gauge(const std::string &name, double value)
+{
+    m_gauges[name] = value;
+}
+
+void metrics::observe(const std::string &team, request_class priority, duration latency)
+{
+    histogram &target = m_histograms[{ team, priority }];
+    const double latencyS = static_cast<double>(latency.count()) / 1e6;
+    target.all(latencyS);
+    const auto bucket = std::lower_bound(BUCKETS_S.begin(), BUCKETS_S.end(), latencyS);
+    if (bucket != BUCKETS_S.end()) {
+        target.buckets[static_cast<std::size_t>(bucket - BUCKETS_S.begin())](latencyS);
+    }
+}
+
+std::string metrics::text() const
+{
+    std::string text;
+    std::string last;
+    for (const auto &[key, value] : m_counters) {
+        if (key.name != last) {
+            text += fmt::format("# TYPE jujubespool_{} counter\n", key.name);
+            last = key.name;
+        }
+        text += fmt::format("jujubespool_{}{{{}=\"{}\"}} {}\n", key.name, key.label, key.value, value);
+    }
+    for (const auto &[name, value] : m_gauges) {
+        text += fmt::format("# TYPE jujubespool_{0} gauge\njujubespool_{0} {1}\n", name, value);
+    }
+    text += "# TYPE jujubespool_latency_seconds histogram\n";
+    for (const auto &[key, item] : m_histograms) {
+        const std::string labels = fmt::format("team=\"{}\",class=\"{}\"", key.team, nameOf(key.priority));
+        std::size_t below = 0;
+        for (std::size_t i = 0; i < BUCKETS_S.size(); ++i) {
+            below += acc::count(item.buckets[i]);
+            text += fmt::format("jujubespool_latency_seconds_bucket{{{},le=\"{}\"}} {}\n", labels, BUCKETS_S[i], below);
+        }
+        text += fmt::format("jujubespool_latency_seconds_bucket{{{},le=\"+Inf\"}} {}\n", labels, acc::count(item.all));
+        text += fmt::format("jujubespool_latency_seconds_sum{{{}}} {}\n", labels, acc::sum(item.all));
+        text += fmt::format("jujubespool_latency_seconds_count{{{}}} {}\n", labels, acc::count(item.all));
+    }
+    return text;
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/entry/src/request_router.cpp
@@ -0,0 +1,588 @@
+#include <jujubespool/entry/request_router.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+#include <jujubespool/core/hashing.h>
+#include <jujubespool/core/idempotency_key.h>
+#include <jujubespool/entry/logger.h>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <strings.h>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr int STATUS_BAD_REQUEST = 400;
+constexpr int STATUS_UNAUTHORIZED = 401;
+constexpr int STATUS_NOT_FOUND = 404;
+constexpr int STATUS_CONFLICT = 409;
+constexpr int STATUS_UNPROCESSABLE = 422;
+constexpr int STATUS_TOO_MANY = 429;
+constexpr int STATUS_SERVER_ERROR = 500;
+constexpr int STATUS_BAD_GATEWAY = 502;
+constexpr int STATUS_UNAVAILABLE = 503;
+constexpr int STATUS_GATEWAY_TIMEOUT = 504;
+constexpr long long MAX_TIMEOUT_MS = 3600000;
+// Time kept back from a caller's deadline for the answer's way home.
+constexpr milliseconds ANSWER_MARGIN{ 5 };
+
+// Header fields that belong to one connection or to this host and are not passed on.
+bool isPassedOn(const std::string &name)
+{
+    static const char *const dropped[] = { "host",
+                                           "connection",
+                                           "keep-alive",
+                                           "proxy-connection",
+                                           "transfer-encoding",
+                                           "upgrade",
+                                           "te",
+                                           "trailer",
+                                           "content-length",
+                                           "authorization",
+                                           "expect",
+                                           "date",
+                                           "server",
+                                           "jujubespool-outcome",
+                                           "jujubespool-request-id",
+                                           "jujubespool-timeout-ms",
+                                           "jujubespool-class" };
+    return std::none_of(std::begin(dropped), std::end(dropped), [&](const char *other) { return strcasecmp(name.c_str(), other) == 0; });
+}
+
+std::vector<http_header> passedOn(const std::vector<http_header> &headers)
+{
+    std::vector<http_header> kept;
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(kept),
+                 [](const http_header &header) { return isPassedOn(header.name); });
+    return kept;
+}
+
+attempt_result attemptResultOf(const http_result &result)
+{
+    switch (result.end) {
+    case http_end::connect_failed:
+        return attempt_result::connect_failed;
+    case http_end::closed:
+        return attempt_result::closed_early;
+    case http_end::timed_out:
+        return attempt_result::silent;
+    case http_end::complete:
+        break;
+    }
+    return result.status >= STATUS_SERVER_ERROR ? attempt_result::error_status : attempt_result::answered;
+}
+
+wire::kept_answer keep(const caller_answer &answer)
+{
+    wire::kept_answer kept;
+    kept.set_status(static_cast<std::uint32_t>(answer.status));
+    kept.set_outcome(static_cast<std::uint32_t>(answer.outcome));
+    kept.set_body(answer.body);
+    for (const http_header &header : answer.headers) {
+        wire::header_field &field = *kept.add_headers();
+        field.set_name(header.name);
+        field.set_value(header.value);
+    }
+    return kept;
+}
+
+caller_answer problemAnswer(int status, outcome told, const failure &reason)
+{
+    const nlohmann::json body{ { "type", "about:blank" },       { "title", reason.reason }, { "status", status },
+                               { "step", nameOf(reason.step) }, { "peer", reason.peer },    { "outcome", nameOf(told) } };
+    caller_answer answer;
+    answer.status = status;
+    answer.outcome = told;
+    answer.headers.push_back({ "Content-Type", "application/problem+json" });
+    if (status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE) {
+        answer.headers.push_back({ "Retry-After", "1" });
+    }
+    answer.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return answer;
+}
+
+} // namespace
+
+request_router::request_router(event_loop &loop, log_session &session, peer_group &peers, dispatcher &work, loan_desk &loans,
+                               claim_desk &claims, key_desk &keys, answer_store &store, http_client &upstreams, metrics &figures,
+                               const entry_settings &settings)
+    : m_loop(loop)
+    , m_session(session)
+    , m_peers(peers)
+    , m_work(work)
+    , m_loans(loans)
+    , m_claims(claims)
+    , m_keys(keys)
+    , m_store(store)
+    , m_upstreams(upstreams)
+    , m_figures(figures)
+    , m_settings(settings)
+{
+}
+
+request_id request_router::onRequest(caller_request request, reply done)
+{
+    const request_id id = ++m_lastId;
+    failure reason;
+    int status = STATUS_BAD_REQUEST;
+    std::optional<request_record> record = parse(std::move(request), reason, status);
+    if (!record) {
+        m_figures.count("requests_total", "outcome", "not-run");
+        done(problemAnswer(status, outcome::not_run, reason));
+        return 0;
+    }
+    record->spec.id = id;
+    record->done = std::move(done);
+    m_requests.emplace(id, std::move(*record));
+    begin(id);
+    return id;
+}
+
+std::optional<request_router::request_record> request_router::parse(caller_request request, failure &reason, int &status)
+{
+    request_record record;
+    record.arrived = m_loop.now();
+    record.request = std::move(request);
+    const service_spec *service = m_session.state().config().findService(record.request.service);
+    if (m_stopping) {
+        status = STATUS_UNAVAILABLE;
+        reason = { step::admit, m_settings.host, "this entry host is stopping" };
+        return std::nullopt;
+    }
+    if (m_session.state().editionOffset() == 0) {
+        status = STATUS_UNAVAILABLE;
+        reason = { step::admit, m_settings.host, "no configuration is in force yet" };
+        return std::nullopt;
+    }
+    if (service == nullptr) {
+        status = STATUS_NOT_FOUND;
+        reason = { step::admit, {}, fmt::format("unknown service '{}'", record.request.service) };
+        return std::nullopt;
+    }
+    record.spec.service = service->name;
+    record.spec.repeatable = service->repeatable;
+    if (!authenticate(record, *service, reason)) {
+        status = STATUS_UNAUTHORIZED;
+        return std::nullopt;
+    }
+    if (newsTooOld(record)) {
+        status = STATUS_UNAVAILABLE;
+        reason = { step::authenticate, m_settings.host, "the configuration was not heard of for too long to trust the key" };
+        return std::nullopt;
+    }
+    if (!readTimes(record, *service, reason)) {
+        return std::nullopt;
+    }
+    return record;
+}
+
+bool request_router::authenticate(request_record &record, const service_spec &service, failure &reason)
+{
+    if (record.request.key.empty() && service.queue == queue_kind::open) {
+        record.spec.team = OPEN_TEAM;
+        return true;
+    }
+    const team_spec *team = record.request.key.empty() ? nullptr : m_keys.teamOf(record.request.key);
+    if (team == nullptr) {
+        reason = { step::authenticate, {}, record.request.key.empty() ? "a key is needed" : "the key is unknown or withdrawn" };
+        return false;
+    }
+    record.spec.team = team->name;
+    return true;
+}
+
+bool request_router::newsTooOld(const request_record &record) const
+{
+    const milliseconds grace = m_session.state().config().keyGrace;
+    return record.spec.team != OPEN_TEAM && grace.count() > 0 && m_session.age(m_loop.now()) > grace;
+}
+
+bool request_router::readTimes(request_record &record, const service_spec &service, failure &reason)
+{
+    record.spec.priority = service.defaultClass;
+    if (!record.request.priority.empty()) {
+        const auto named = valueOf<request_class>(record.request.priority);
+        if (!named) {
+            reason = { step::parse, {}, "Jujubespool-Class must be urgent or normal" };
+            return false;
+        }
+        record.spec.priority = *named;
+    }
+    long long timeoutMs = m_settings.defaultTimeout.count();
+    const std::string &text = record.request.timeoutMs;
+    if (!text.empty()) {
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), timeoutMs);
+        if (error != std::errc() || end != text.data() + text.size() || timeoutMs < 1 || timeoutMs > MAX_TIMEOUT_MS) {
+            reason = { step::parse, {}, fmt::format("Jujubespool-Timeout-Ms must be a whole number from 1 to {}", MAX_TIMEOUT_MS) };
+            return false;
+        }
+    }
+    record.spec.deadline = record.arrived + std::max(milliseconds(1), milliseconds(timeoutMs) - ANSWER_MARGIN);
+    if (!record.request.idempotencyKey.empty() && !issueTimeOf(record.request.idempotencyKey)) {
+        reason = { step::parse, {}, "Idempotency-Key must be a version 7 UUID or 13 digits of epoch milliseconds, '-' and any text" };
+        return false;
+    }
+    return true;
+}
+
+void request_router::begin(request_id id)
+{
+    if (m_requests.at(id).request.idempotencyKey.empty()) {
+        admit(id);
+    } else {
+        beginKeyed(id);
+    }
+}
+
+void request_router::beginKeyed(request_id id)
+{
+    request_record &record = m_requests.at(id);
+    const caller_request &request = record.request;
+    record.keyHash = requestHashOf({ request.idempotencyKey });
+    record.fingerprint = requestHashOf({ request.service, record.spec.team, nameOf(request.method), request.path, request.body });
+    if (const kept_request *kept = m_store.find(record.keyHash)) {
+        followKept(id, *kept);
+        return;
+    }
+    m_store.begin(record.keyHash, record.fingerprint, ++m_lastNonce);
+    askClaim(id);
+}
+
+void request_router::askClaim(request_id id)
+{
+    request_record &record = m_requests.at(id);
+    record.ownsKey = true;
+    wire::claim wanted;
+    wanted.set_key_hash(record.keyHash);
+    wanted.set_fingerprint(record.fingerprint);
+    wanted.set_runner(m_session.id());
+    wanted.set_issued_ms(*issueTimeOf(record.request.idempotencyKey));
+    wanted.set_nonce(m_store.find(record.keyHash)->nonce);
+    m_claims.ask(wanted, record.spec.deadline, [this, id](const claim_decision &decision) { onClaim(id, decision); });
+}
+
+// This host knows the key: it runs the request, has run it, or knows that it did not run.
+void request_router::followKept(request_id id, const kept_request &kept)
+{
+    const request_record &record = m_requests.at(id);
+    if (kept.fingerprint != record.fingerprint) {
+        refuse(id, STATUS_UNPROCESSABLE, outcome::not_run, { step::claim, {}, "the idempotency key belongs to another request" });
+    } else if (kept.running) {
+        m_waiters[record.keyHash].push_back(id);
+    } else if (kept.handedTo != NO_SESSION) {
+        fetchFrom(id, kept.handedTo);
+    } else if (kept.retryable()) {
+        const bool granted = kept.granted;
+        m_store.begin(record.keyHash, record.fingerprint, 0);
+        if (granted) {
+            admitGranted(id);
+        } else {
+            askClaim(id);
+        }
+    } else {
+        answerKept(id, kept.answer);
+    }
+}
+
+void request_router::onClaim(request_id id, const claim_decision &decision)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end()) {
+        return;
+    }
+    const std::string keyHash = found->second.keyHash;
+    switch (decision.verdict) {
+    case wire::CLAIM_VERDICT_FIRST:
+        admitGranted(id);
+        return;
+    case wire::CLAIM_VERDICT_REPEATED:
+        if (decision.runner == m_session.id()) {
+            m_store.forget(keyHash);
+            refuse(id, STATUS_BAD_GATEWAY, outcome::unknown, { step::claim, m_settings.host, "the first answer is kept no longer" });
+        } else {
+            fetchFrom(id, decision.runner);
+        }
+        return;
+    case wire::CLAIM_VERDICT_MISMATCH:
+        m_store.forget(keyHash);
+        refuse(id, STATUS_UNPROCESSABLE, outcome::not_run, { step::claim, {}, "the idempotency key belongs to another request" });
+        return;
+    case wire::CLAIM_VERDICT_TOO_OLD:
+        m_store.forget(keyHash);
+        refuse(id, STATUS_CONFLICT, outcome::unknown, { step::claim, {}, "the idempotency key is too old, or its issue time lies ahead" });
+        return;
+    case wire::CLAIM_VERDICT_UNKNOWN:
+        m_store.forget(keyHash);
+        refuse(id, STATUS_BAD_GATEWAY, outcome::unknown,
+               { step::claim, {}, "the host that decided on this key has died; the work may have run" });
+        return;
+    default:
+        onClaimTimeout(id);
+        return;
+    }
+}
+
+void request_router::admitGranted(request_id id)
+{
+    request_record &record = m_requests.at(id);
+    record.ownsKey = true;
+    m_store.grant(record.keyHash);
+    if (record.cancelled) {
+        refuse(id, STATUS_UNAVAILABLE, outcome::not_run, { step::claim, {}, "the caller has gone away" });
+        return;
+    }
+    admit(id);
+}
+
+// The request did not run here, but another host may have run it under the same key.
+void request_router::onClaimTimeout(request_id id)
+{
+    request_record &record = m_requests.at(id);
+    const session_id owner = claimOwnerOf(record.keyHash, m_session.state());
+    record.ownsKey = false;
+    m_store.finish(record.keyHash, keep(problemAnswer(STATUS_UNAVAILABLE, outcome::not_run, { step::claim, {}, "no claim" })));
+    const std::string keyHash = record.keyHash;
+    refuse(id, STATUS_UNAVAILABLE, outcome::unknown,
+           { step::claim, m_peers.hostOf(owner), "the host that decides on this key did not answer" });
+    answerWaiters(keyHash);
+}
+
+void request_router::fetchFrom(request_id id, session_id runner)
+{
+    const request_record &record = m_requests.at(id);
+    m_claims.fetch(runner, record.keyHash, record.fingerprint, record.spec.deadline, [this, id, runner](const fetched_answer &answer) {
+        const auto found = m_requests.find(id);
+        if (found == m_requests.end()) {
+            return;
+        }
+        if (answer.handedTo == m_session.id()) {
+            m_store.forget(found->second.keyHash);
+            m_store.begin(found->second.keyHash, found->second.fingerprint, ++m_lastNonce);
+            admitGranted(id);
+        } else if (answer.known) {
+            answerKept(id, answer.answer);
+        } else {
+            refuse(id, STATUS_BAD_GATEWAY, outcome::unknown, { step::claim, m_peers.hostOf(runner), "the first answer cannot be had" });
+        }
+    });
+}
+
+void request_router::admit(request_id id)
+{
+    request_record &record = m_requests.at(id);
+    failure reason;
+    if (!m_work.admit(record.spec, m_session.state(), m_loop.now(), reason)) {
+        refuse(id, STATUS_UNAVAILABLE, outcome::not_run, reason);
+        return;
+    }
+    pump();
+}
+
+void request_router::pump()
+{
+    if (m_pumping || m_paused) {
+        return;
+    }
+    m_pumping = true;
+    const instant now = m_loop.now();
+    m_loans.serveWaiting(now);
+    for (const dispatch &start : m_work.schedule(m_session.state(), now)) {
+        send(start);
+    }
+    m_loans.ask(now);
+    m_pumping = false;
+}
+
+void request_router::send(const dispatch &start)
+{
+    const auto found = m_requests.find(start.id);
+    const bool known = found != m_requests.end();
+    const bool mayRun
+        = known && (found->second.keyHash.empty() || found->second.spec.repeatable || m_store.dispatch(found->second.keyHash));
+    if (!mayRun) {
+        refuseUnsent(start);
+        return;
+    }
+    const request_record &record = found->second;
+    http_request request;
+    request.address = start.address;
+    request.method = record.request.method;
+    request.path = record.request.path;
+    request.headers = passedOn(record.request.headers);
+    request.headers.push_back({ "Jujubespool-Request-Id", fmt::format("{:x}-{}", m_session.id(), start.id) });
+    request.headers.push_back({ "Jujubespool-Team", record.spec.team });
+    request.body = record.request.body;
+    request.timeout = std::max(milliseconds(1), duration_cast<milliseconds>(start.deadline - m_loop.now()));
+    // A kept connection may be closed by the other end just now, which would leave the outcome unknown.
+    request.freshConnection = !record.spec.repeatable;
+    m_upstreams.send(request, [this, id = start.id, worker = start.worker](const http_result &result) { onUpstream(id, worker, result); });
+}
+
+// The guard of at most once has refused a dispatch; nothing was sent, so the slot is free again.
+void request_router::refuseUnsent(const dispatch &start)
+{
+    logEvent(log_level::error, "dispatch-refused", { { "worker", start.worker } });
+    if (m_work.onResult(start.id, attempt_result::connect_failed, m_session.state(), m_loop.now()) == next_move::retry) {
+        m_work.cancel(start.id);
+    }
+    if (m_requests.count(start.id) > 0) {
+        refuse(start.id, STATUS_BAD_GATEWAY, outcome::unknown, { step::claim, m_settings.host, "the request was dispatched before" });
+    }
+}
+
+void request_router::onUpstream(request_id id, const std::string &worker, const http_result &result)
+{
+    const next_move move = m_work.onResult(id, attemptResultOf(result), m_session.state(), m_loop.now());
+    const std::string ending(nameOf(result.end));
+    const auto found = m_requests.find(id);
+    if (result.end == http_end::connect_failed && found != m_requests.end() && found->second.ownsKey) {
+        m_store.undoDispatch(found->second.keyHash);
+    }
+    switch (move) {
+    case next_move::reply: {
+        caller_answer answer;
+        answer.status = result.status;
+        answer.outcome = outcome::ran;
+        answer.headers = passedOn(result.headers);
+        answer.body = result.body;
+        finish(id, std::move(answer));
+        break;
+    }
+    case next_move::not_run:
+        refuse(id, STATUS_UNAVAILABLE, outcome::not_run, { step::connect, worker, "the connection to the upstream failed: " + ending });
+        break;
+    case next_move::unknown: {
+        const int status = result.end == http_end::timed_out ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
+        refuse(id, status, outcome::unknown, { step::exchange, worker, "no whole answer came from the upstream: " + ending });
+        break;
+    }
+    case next_move::retry:
+        m_figures.count("retries_total", "result", ending);
+        break;
+    }
+    pump();
+}
+
+void request_router::answerKept(request_id id, const wire::kept_answer &kept)
+{
+    caller_answer answer;
+    answer.status = static_cast<int>(kept.status());
+    answer.outcome = static_cast<outcome>(kept.outcome());
+    answer.body = kept.body();
+    for (const wire::header_field &field : kept.headers()) {
+        answer.headers.push_back({ field.name(), field.value() });
+    }
+    answer.headers.push_back({ "Jujubespool-Repeated", "true" });
+    finish(id, std::move(answer));
+}
+
+void request_router::refuse(request_id id, int status, outcome told, const failure &reason)
+{
+    finish(id, problemAnswer(status, told, reason));
+}
+
+void request_router::finish(request_id id, caller_answer answer)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end()) {
+        return;
+    }
+    const request_record record = std::move(found->second);
+    m_requests.erase(found);
+    m_figures.count("requests_total", "outcome", std::string(nameOf(answer.outcome)));
+    m_figures.observe(record.spec.team, record.spec.priority, m_loop.now() - record.arrived);
+    if (record.ownsKey) {
+        m_store.finish(record.keyHash, keep(answer));
+    }
+    answer.headers.push_back({ "Jujubespool-Request-Id", fmt::format("{:x}-{}", m_session.id(), id) });
+    if (!record.cancelled) {
+        record.done(answer);
+    }
+    if (record.ownsKey) {
+        answerWaiters(record.keyHash);
+    }
+}
+
+void request_router::answerWaiters(const std::string &keyHash)
+{
+    const auto found = m_waiters.find(keyHash);
+    if (found == m_waiters.end()) {
+        return;
+    }
+    const std::vector<request_id> waiters = std::move(found->second);
+    m_waiters.erase(found);
+    const kept_request *kept = m_store.find(keyHash);
+    for (const request_id id : waiters) {
+        if (m_requests.count(id) == 0) {
+            continue;
+        }
+        if (kept != nullptr && !kept->running) {
+            answerKept(id, kept->answer);
+        } else {
+            refuse(id, STATUS_BAD_GATEWAY, outcome::unknown, { step::claim, m_settings.host, "the first answer is kept no longer" });
+        }
+    }
+}
+
+void request_router::cancel(request_id id)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end()) {
+        return;
+    }
+    found->second.cancelled = true;
+    if (m_work.cancel(id)) {
+        m_figures.count("cancelled_total", "while", "waiting");
+        refuse(id, STATUS_UNAVAILABLE, outcome::not_run, { step::queue, {}, "the caller has gone away" });
+    }
+}
+
+void request_router::check(instant now)
+{
+    m_work.settle(now);
+    for (const refusal &item : m_work.expire(now)) {
+        const auto found = m_requests.find(item.id);
+        if (found == m_requests.end()) {
+            continue;
+        }
+        const std::string &team = found->second.spec.team;
+        const bool overLimit = team != OPEN_TEAM && !m_work.teamHasRoom(team, m_session.state(), now);
+        failure reason = item.reason;
+        if (overLimit) {
+            reason = { step::permit, m_settings.host, "the team runs as much as its limit allows" };
+        }
+        refuse(item.id, overLimit ? STATUS_TOO_MANY : STATUS_UNAVAILABLE, item.outcome, reason);
+    }
+    std::vector<request_id> late;
+    for (const auto &[keyHash, waiters] : m_waiters) {
+        for (const request_id id : waiters) {
+            const auto found = m_requests.find(id);
+            if (found != m_requests.end() && now >= found->second.spec.deadline) {
+                late.push_back(id);
+            }
+        }
+    }
+    for (const request_id id : late) {
+        refuse(id, STATUS_GATEWAY_TIMEOUT, outcome::unknown,
+               { step::claim, m_settings.host, "the first request with this key still runs" });
+    }
+    pump();
+}
+
+std::string request_router::issueKey()
+{
+    static std::mt19937_64 random{ std::random_device{}() };
+    std::string key;
+    constexpr int MAX_TRIES = 10000;
+    for (int i = 0; i < MAX_TRIES; ++i) {
+        key = fmt::format("{}-{:016x}", m_loop.wallNow(), random());
+        if (claimOwnerOf(requestHashOf({ key }), m_session.state()) == m_session.id()) {
+            return key;
+        }
+    }
+    return key;
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/platform/include/jujubespool/platform/platform.h
@@ -0,0 +1,179 @@
+// What the platform gives: an append-only log, a lagging list of hosts, and control of workers.
+//
+//     http_platform platform(client, "127.0.0.1:7000", "entry-1");
+//     platform.append(records, [](const append_result &result) { ... });
+//
+// The protocol is described in docs/PLATFORM.md. Another platform is fitted by another implementation
+// of these three interfaces.
+#pragma once
+
+#include <functional>
+#include <jujubespool/core/failure.h>
+#include <jujubespool/core/fleet_state.h>
+#include <jujubespool/core/time.h>
+#include <jujubespool/platform/http_client.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jujubespool {
+
+// The log's answer to an append; no value when it failed or its answer was lost.
+struct append_result
+{
+    std::optional<log_offset> firstOffset;
+    failure reason;
+};
+
+struct log_record
+{
+    log_offset offset = 0;
+    std::string data;
+};
+
+struct log_page
+{
+    log_offset oldest = 0;
+    // Offset that the next record will get.
+    log_offset next = 0;
+    std::vector<log_record> records;
+};
+
+struct read_result
+{
+    std::optional<log_page> page;
+    failure reason;
+};
+
+class log_client
+{
+public:
+    virtual ~log_client() = default;
+    // Appends the records in order, all or none.
+    virtual void append(const std::vector<std::string> &records, std::function<void(const append_result &)> done) = 0;
+    // Reads from the offset, or from the oldest record kept when that is later. Waits when nothing is there.
+    virtual void read(log_offset from, milliseconds wait, std::function<void(const read_result &)> done) = 0;
+};
+
+enum class listed_state { live, leaving, gone };
+
+template <> struct enum_names<listed_state>
+{
+    static constexpr std::array<std::string_view, 3> NAMES{ "live", "leaving", "gone" };
+};
+
+struct listed_host
+{
+    std::string name;
+    // gone is said only when the machine certainly runs nothing any more.
+    listed_state state = listed_state::live;
+};
+
+struct list_result
+{
+    std::optional<std::vector<listed_host>> hosts;
+    failure reason;
+};
+
+class host_directory
+{
+public:
+    virtual ~host_directory() = default;
+    virtual void list(std::function<void(const list_result &)> done) = 0;
+};
+
+enum class machine_state { up, rebooting, failed };
+
+template <> struct enum_names<machine_state>
+{
+    static constexpr std::array<std::string_view, 3> NAMES{ "up", "rebooting", "failed" };
+};
+
+struct machine_result
+{
+    std::optional<machine_state> state;
+    // Version of the machine's software, as far as it is known.
+    std::string version;
+    failure reason;
+};
+
+enum class task_action { checkpoint, throttle, stop };
+
+template <> struct enum_names<task_action>
+{
+    static constexpr std::array<std::string_view, 3> NAMES{ "checkpoint", "throttle", "stop" };
+};
+
+struct task_lease
+{
+    std::string worker;
+    std::string task;
+    milliseconds duration{ 0 };
+};
+
+struct task_usage
+{
+    std::string worker;
+    std::string task;
+    double cores = 0;
+    double memoryGb = 0;
+};
+
+struct usage_result
+{
+    std::optional<std::vector<task_usage>> usage;
+    failure reason;
+};
+
+struct control_result
+{
+    bool accepted = false;
+    failure reason;
+};
+
+class worker_control
+{
+public:
+    virtual ~worker_control() = default;
+    // Reboots the machine and installs the version unless it is empty. A repeated token does nothing more.
+    virtual void reboot(const std::string &host, const std::string &token, const std::string &version,
+                        std::function<void(const control_result &)> done)
+        = 0;
+    virtual void inspect(const std::string &host, std::function<void(const machine_result &)> done) = 0;
+    // Starts the task, or renews its lease. The platform stops a task whose lease lapses.
+    virtual void lease(const task_lease &lease, std::function<void(const control_result &)> done) = 0;
+    virtual void act(const std::string &worker, const std::string &task, task_action action,
+                     std::function<void(const control_result &)> done)
+        = 0;
+    // Measured usage, some time old.
+    virtual void usage(std::function<void(const usage_result &)> done) = 0;
+};
+
+// The three interfaces over HTTP/1.1 and JSON.
+class http_platform : public log_client, public host_directory, public worker_control
+{
+public:
+    // The name tells the platform which host asks.
+    http_platform(http_client &client, std::string address, std::string name);
+
+    void append(const std::vector<std::string> &records, std::function<void(const append_result &)> done) override;
+    void read(log_offset from, milliseconds wait, std::function<void(const read_result &)> done) override;
+    void list(std::function<void(const list_result &)> done) override;
+    void reboot(const std::string &host, const std::string &token, const std::string &version,
+                std::function<void(const control_result &)> done) override;
+    void inspect(const std::string &host, std::function<void(const machine_result &)> done) override;
+    void lease(const task_lease &lease, std::function<void(const control_result &)> done) override;
+    void act(const std::string &worker, const std::string &task, task_action action,
+             std::function<void(const control_result &)> done) override;
+    void usage(std::function<void(const usage_result &)> done) override;
+
+private:
+    http_request requestFor(http_method method, std::string path, std::string body) const;
+    void control(std::string path, std::string body, std::function<void(const control_result &)> done);
+
+    http_client &m_client;
+    std::string m_address;
+    std::string m_name;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/platform/src/http_client.cpp
@@ -0,0 +1,251 @@
+#include <jujubespool/platform/http_client.h>
+
+#include <algorithm>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr std::size_t MAX_IDLE_PER_ADDRESS = 64;
+constexpr long IDLE_TIMEOUT_S = 3600;
+
+timeval toTimeval(duration time)
+{
+    return { static_cast<time_t>(time.count() / 1000000), static_cast<suseconds_t>(time.count() % 1000000) };
+}
+
+// A connection must not be freed from inside its own callbacks.
+void freeLater(event_base *base, evhttp_connection *connection)
+{
+    const timeval now{ 0, 0 };
+    const auto release = [](evutil_socket_t, short, void *argument) {
+        evhttp_connection_free(static_cast<evhttp_connection *>(argument));
+    };
+    event_base_once(base, -1, EV_TIMEOUT, release, connection, &now);
+}
+
+bool isConnected(evhttp_connection *connection)
+{
+    const evutil_socket_t descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    sockaddr_storage address{};
+    socklen_t size = sizeof address;
+    return descriptor >= 0 && getpeername(descriptor, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+}
+
+} // namespace
+
+struct http_client::exchange
+{
+    http_client *client = nullptr;
+    evhttp_connection *connection = nullptr;
+    evhttp_request *request = nullptr;
+    event *timer = nullptr;
+    std::string address;
+    callback done;
+    bool failed = false;
+
+    ~exchange()
+    {
+        if (timer != nullptr) {
+            event_free(timer);
+        }
+    }
+
+    static void onDone(evhttp_request *request, void *argument)
+    {
+        auto &self = *static_cast<exchange *>(argument);
+        if (request == nullptr || self.failed) {
+            self.end(http_end::closed);
+        } else if (evhttp_request_get_response_code(request) == 0) {
+            self.end(http_end::connect_failed);
+        } else {
+            self.complete(request);
+        }
+    }
+
+    static void onError(evhttp_request_error, void *argument)
+    {
+        static_cast<exchange *>(argument)->failed = true;
+    }
+
+    static void onTimeout(evutil_socket_t, short, void *argument)
+    {
+        auto &self = *static_cast<exchange *>(argument);
+        const bool connected = isConnected(self.connection);
+        evhttp_cancel_request(self.request);
+        self.end(connected ? http_end::timed_out : http_end::connect_failed);
+    }
+
+    static void onNoConnection(evutil_socket_t, short, void *argument)
+    {
+        static_cast<exchange *>(argument)->end(http_end::connect_failed);
+    }
+
+    void end(http_end how)
+    {
+        http_result result;
+        result.end = how;
+        client->finish(*this, result, false);
+    }
+
+    void complete(evhttp_request *answer)
+    {
+        http_result result;
+        result.status = evhttp_request_get_response_code(answer);
+        const evkeyvalq *headers = evhttp_request_get_input_headers(answer);
+        for (const evkeyval *item = headers->tqh_first; item != nullptr; item = item->next.tqe_next) {
+            result.headers.push_back({ item->key, item->value });
+        }
+        evbuffer *body = evhttp_request_get_input_buffer(answer);
+        result.body.resize(evbuffer_get_length(body));
+        evbuffer_remove(body, result.body.data(), result.body.size());
+        // Without a stated length a connection that broke looks like the end of the answer.
+        const std::string *coding = result.header("Transfer-Encoding");
+        const bool framed = result.header("Content-Length") != nullptr || coding != nullptr || result.status == HTTP_NOCONTENT;
+        result.end = framed ? http_end::complete : http_end::closed;
+        const std::string *persistence = result.header("Connection");
+        const bool closes = persistence != nullptr && strcasecmp(persistence->c_str(), "close") == 0;
+        client->finish(*this, result, framed && !closes);
+    }
+};
+
+const std::string *http_result::header(std::string_view name) const
+{
+    const auto same = [name](const http_header &item) {
+        return item.name.size() == name.size() && strncasecmp(item.name.data(), name.data(), name.size()) == 0;
+    };
+    const auto found = std::find_if(headers.begin(), headers.end(), same);
+    return found == headers.end() ? nullptr : &found->value;
+}
+
+std::optional<host_port> parseAddress(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos || colon == 0) {
+        return std::nullopt;
+    }
+    host_port result{ address.substr(0, colon), 0 };
+    const char *end = address.data() + address.size();
+    const auto [stop, error] = std::from_chars(address.data() + colon + 1, end, result.port);
+    if (error != std::errc() || stop != end) {
+        return std::nullopt;
+    }
+    return result;
+}
+
+http_client::http_client(event_base *base)
+    : m_base(base)
+{
+}
+
+http_client::~http_client()
+{
+    for (auto &[key, item] : m_active) {
+        if (item->connection != nullptr) {
+            evhttp_connection_free(item->connection);
+        }
+    }
+    for (auto &[address, connections] : m_idle) {
+        for (evhttp_connection *connection : connections) {
+            evhttp_connection_free(connection);
+        }
+    }
+}
+
+evhttp_connection *http_client::takeConnection(const http_request &request, const host_port &where)
+{
+    std::vector<evhttp_connection *> &idle = m_idle[request.address];
+    if (!request.freshConnection && !idle.empty()) {
+        evhttp_connection *connection = idle.back();
+        idle.pop_back();
+        return connection;
+    }
+    evhttp_connection *connection = evhttp_connection_base_new(m_base, nullptr, where.host.c_str(), where.port);
+    const timeval idleTimeout{ IDLE_TIMEOUT_S, 0 };
+    evhttp_connection_set_timeout_tv(connection, &idleTimeout);
+    return connection;
+}
+
+void http_client::send(const http_request &request, callback done)
+{
+    auto owned = std::make_unique<exchange>();
+    exchange &item = *owned;
+    item.client = this;
+    item.address = request.address;
+    item.done = std::move(done);
+    m_active.emplace(&item, std::move(owned));
+    const std::optional<host_port> where = parseAddress(request.address);
+    const timeval immediately{ 0, 0 };
+    if (!where) {
+        item.timer = evtimer_new(m_base, exchange::onNoConnection, &item);
+        evtimer_add(item.timer, &immediately);
+        return;
+    }
+    item.connection = takeConnection(request, *where);
+    item.request = evhttp_request_new(exchange::onDone, &item);
+    evhttp_request_set_error_cb(item.request, exchange::onError);
+    evkeyvalq *headers = evhttp_request_get_output_headers(item.request);
+    evhttp_add_header(headers, "Host", request.address.c_str());
+    for (const http_header &header : request.headers) {
+        evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    }
+    if (request.method == http_method::post) {
+        evhttp_add_header(headers, "Content-Length", std::to_string(request.body.size()).c_str());
+        evbuffer_add(evhttp_request_get_output_buffer(item.request), request.body.data(), request.body.size());
+    }
+    const evhttp_cmd_type command = request.method == http_method::post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
+    const bool made = evhttp_make_request(item.connection, item.request, command, request.path.c_str()) == 0;
+    item.timer = evtimer_new(m_base, made ? exchange::onTimeout : exchange::onNoConnection, &item);
+    const timeval timeout = toTimeval(request.timeout);
+    evtimer_add(item.timer, made ? &timeout : &immediately);
+}
+
+void http_client::finish(exchange &item, const http_result &result, bool keepConnection)
+{
+    const auto found = m_active.find(&item);
+    if (found == m_active.end()) {
+        return;
+    }
+    const std::unique_ptr<exchange> owned = std::move(found->second);
+    m_active.erase(found);
+    if (owned->connection != nullptr) {
+        std::vector<evhttp_connection *> &idle = m_idle[owned->address];
+        if (keepConnection && idle.size() < MAX_IDLE_PER_ADDRESS) {
+            idle.push_back(owned->connection);
+        } else {
+            freeLater(m_base, owned->connection);
+        }
+    }
+    owned->done(result);
+}
+
+void http_client::forget(const std::string &address)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end()) {
+        return;
+    }
+    for (evhttp_connection *connection : found->second) {
+        freeLater(m_base, connection);
+    }
+    m_idle.erase(found);
+}
+
+std::size_t http_client::idleConnections() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, connections] : m_idle) {
+        count += connections.size();
+    }
+    return count;
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/wire/include/jujubespool/wire/peer_link.h
@@ -0,0 +1,68 @@
+// Sends and receives protobuf messages between entry hosts over ZeroMQ.
+//
+//     peer_link link(base, receiver);
+//     const auto endpoint = link.bind("tcp://127.0.0.1:*", reason);
+//     link.connect(peerSession, peerEndpoint);
+//     link.send(peerSession, message);
+//
+// Messages may be lost, and a peer that is away costs nothing: what cannot be sent is dropped. ZeroMQ's
+// own thread moves the bytes; the receiver is called on the thread of the event loop.
+#pragma once
+
+#include <cstdint>
+#include <event2/event.h>
+#include <jujubespool/wire/jujubespool.pb.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace jujubespool {
+
+class peer_receiver
+{
+public:
+    virtual ~peer_receiver() = default;
+    virtual void onPeerMessage(const wire::peer_message &message) = 0;
+};
+
+class peer_link
+{
+public:
+    peer_link(event_base *base, peer_receiver &receiver);
+    ~peer_link();
+    peer_link(const peer_link &) = delete;
+    peer_link &operator=(const peer_link &) = delete;
+
+    // Listens on the endpoint and returns it with the port that the kernel chose, or the reason for failing.
+    std::optional<std::string> bind(const std::string &endpoint, std::string &reason);
+
+    void connect(std::uint64_t peer, const std::string &endpoint);
+    void disconnect(std::uint64_t peer);
+    void send(std::uint64_t peer, const wire::peer_message &message);
+
+    // While cut, nothing passes in either direction. For tests of partitions.
+    void setCut(bool cut)
+    {
+        m_cut = cut;
+    }
+
+    std::uint64_t sentBytes() const
+    {
+        return m_sentBytes;
+    }
+
+private:
+    struct sockets;
+    static void onReadable(evutil_socket_t, short, void *self);
+    void drain();
+
+    peer_receiver &m_receiver;
+    std::unique_ptr<sockets> m_sockets;
+    event *m_event = nullptr;
+    event_base *m_base;
+    std::uint64_t m_sentBytes = 0;
+    bool m_cut = false;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/wire/src/peer_link.cpp
@@ -0,0 +1,104 @@
+#include <jujubespool/wire/peer_link.h>
+
+#include <zmq.hpp>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr int MAX_QUEUED_MESSAGES = 4096;
+constexpr std::int64_t MAX_MESSAGE_BYTES = 16777216;
+
+} // namespace
+
+struct peer_link::sockets
+{
+    zmq::context_t context{ 1 };
+    zmq::socket_t inbound{ context, zmq::socket_type::pull };
+    std::map<std::uint64_t, zmq::socket_t> outbound;
+};
+
+peer_link::peer_link(event_base *base, peer_receiver &receiver)
+    : m_receiver(receiver)
+    , m_sockets(std::make_unique<sockets>())
+    , m_base(base)
+{
+}
+
+peer_link::~peer_link()
+{
+    if (m_event != nullptr) {
+        event_free(m_event);
+    }
+}
+
+std::optional<std::string> peer_link::bind(const std::string &endpoint, std::string &reason)
+{
+    zmq::socket_t &inbound = m_sockets->inbound;
+    try {
+        inbound.set(zmq::sockopt::linger, 0);
+        inbound.set(zmq::sockopt::maxmsgsize, MAX_MESSAGE_BYTES);
+        inbound.bind(endpoint);
+    } catch (const zmq::error_t &error) {
+        reason = error.what();
+        return std::nullopt;
+    }
+    const auto descriptor = inbound.get(zmq::sockopt::fd);
+    m_event = event_new(m_base, descriptor, EV_READ | EV_PERSIST, onReadable, this);
+    event_add(m_event, nullptr);
+    return inbound.get(zmq::sockopt::last_endpoint);
+}
+
+void peer_link::onReadable(evutil_socket_t, short, void *self)
+{
+    static_cast<peer_link *>(self)->drain();
+}
+
+void peer_link::drain()
+{
+    // ZeroMQ's descriptor is edge triggered: everything that waits has to be read now.
+    zmq::message_t received;
+    while (m_sockets->inbound.recv(received, zmq::recv_flags::dontwait)) {
+        wire::peer_message message;
+        if (!m_cut && message.ParseFromArray(received.data(), static_cast<int>(received.size()))) {
+            m_receiver.onPeerMessage(message);
+        }
+    }
+}
+
+void peer_link::connect(std::uint64_t peer, const std::string &endpoint)
+{
+    if (m_sockets->outbound.count(peer) > 0) {
+        return;
+    }
+    zmq::socket_t outbound(m_sockets->context, zmq::socket_type::push);
+    outbound.set(zmq::sockopt::linger, 0);
+    outbound.set(zmq::sockopt::sndhwm, MAX_QUEUED_MESSAGES);
+    outbound.set(zmq::sockopt::immediate, true);
+    try {
+        outbound.connect(endpoint);
+    } catch (const zmq::error_t &) {
+        // An endpoint that cannot be parsed is a peer that is away.
+        return;
+    }
+    m_sockets->outbound.emplace(peer, std::move(outbound));
+}
+
+void peer_link::disconnect(std::uint64_t peer)
+{
+    m_sockets->outbound.erase(peer);
+}
+
+void peer_link::send(std::uint64_t peer, const wire::peer_message &message)
+{
+    const auto found = m_sockets->outbound.find(peer);
+    if (m_cut || found == m_sockets->outbound.end()) {
+        return;
+    }
+    const std::string bytes = message.SerializeAsString();
+    if (found->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+        m_sentBytes += bytes.size();
+    }
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Runs clang-format and clang-tidy over the project's own code. Prints each finding; a file that was clean
+# with the same headers and settings is not read again. Last line: "lint N passed, N failed".
+set -uo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p build/tidy
+mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cpp' '*.h' | grep -v '\.pb\.')
+passed=0
+failed=0
+for file in "${files[@]}"; do
+    if clang-format --dry-run --Werror "$file"; then passed=$((passed + 1)); else failed=$((failed + 1)); fi
+done
+settings=$(cat .clang-tidy CMakeLists.txt $(printf '%s\n' "${files[@]}" | grep '\.h$') | sha256sum | cut -c1-16)
+tidy() {
+    key=build/tidy/$2-$(sha256sum <"$1" | cut -c1-32)
+    [ -e "$key" ] && return 0
+    if clang-tidy --quiet -p build "$1" 2>/dev/null; then touch "$key"; else echo "clang-tidy: $1"; return 1; fi
+}
+export -f tidy
+mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep -E '^packages/.*/src/.*\.cpp$')
+findings=$(printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -I{} bash -c 'tidy "$@"' _ {} "$settings")
+[ -n "$findings" ] && echo "$findings"
+bad=$(grep -c '^clang-tidy: ' <<<"$findings")
+echo "lint $((passed + ${#sources[@]} - bad)) passed, $((failed + bad)) failed"
+[ $((failed + bad)) -eq 0 ]
--- /dev/null
+++ b/standins/measure/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
