--- a/packages/entry/include/jujubespool/entry/claim_desk.h
+++ b/packages/entry/include/jujubespool/entry/claim_desk.h
@@ -35,6 +35,9 @@
     void ask(const wire::claim &wanted, instant deadline, claim_callback done);
     void fetch(session_id runner, const std::string &keyHash, const std::string &fingerprint, instant deadline, answer_callback done);
 
+    // The request of a key has ended here; peers that asked for its answer are told.
+    void onFinished(const std::string &keyHash);
+
     // Proposes the claims that wait for the log.
     void logClaims();
     // Asks again where no answer came, and gives up at deadlines.
@@ -76,6 +79,7 @@
     void finishFetch(std::uint64_t token, const fetched_answer &answer);
     void onClaimRequest(session_id from, const wire::claim_request &request);
     void onClaimReply(const wire::claim_reply &reply);
+    void sendAnswer(session_id to, const wire::answer_request &request);
     void onAnswerRequest(session_id from, const wire::answer_request &request);
     void onAnswerReply(const wire::answer_reply &reply);
 
@@ -86,7 +90,13 @@
     answer_store &m_store;
     claim_registry m_registry;
     std::map<std::uint64_t, pending_claim> m_claims;
+    struct waiting_peer {
+        session_id peer = NO_SESSION;
+        wire::answer_request request;
+    };
     std::map<std::uint64_t, pending_fetch> m_fetches;
+    // Peers that wait for the end of requests that run here, by key.
+    std::multimap<std::string, waiting_peer> m_waitingPeers;
     std::uint64_t m_lastToken = 0;
 };
 
--- a/packages/entry/include/jujubespool/entry/entry_host.h
+++ b/packages/entry/include/jujubespool/entry/entry_host.h
@@ -71,6 +71,7 @@
     bool m_announced = false;
     bool m_rereading = false;
     instant m_stopBegan;
+    instant m_logHeardWhileStopping;
 };
 
 } // namespace jujubespool
--- a/packages/entry/src/claim_desk.cpp
+++ b/packages/entry/src/claim_desk.cpp
@@ -113,6 +113,24 @@
 }
 
 void claim_desk::onAnswerRequest(session_id from, const wire::answer_request &request)
+{
+    const kept_request *kept = m_store.find(request.key_hash());
+    if (kept != nullptr && kept->running && kept->fingerprint == request.fingerprint()) {
+        m_waitingPeers.emplace(request.key_hash(), waiting_peer { from, request });
+    }
+    sendAnswer(from, request);
+}
+
+void claim_desk::onFinished(const std::string &keyHash)
+{
+    const auto [begin, end] = m_waitingPeers.equal_range(keyHash);
+    for (auto item = begin; item != end; ++item) {
+        sendAnswer(item->second.peer, item->second.request);
+    }
+    m_waitingPeers.erase(begin, end);
+}
+
+void claim_desk::sendAnswer(session_id to, const wire::answer_request &request)
 {
     wire::peer_message message;
     wire::answer_reply &reply = *message.mutable_answer();
@@ -123,10 +141,10 @@
         reply.set_running(kept->running);
         if (!kept->running) {
             *reply.mutable_answer() = kept->answer;
-            reply.set_handed_to(m_store.handOver(request.key_hash(), from));
+            reply.set_handed_to(m_store.handOver(request.key_hash(), to));
         }
     }
-    m_peers.send(from, message);
+    m_peers.send(to, message);
 }
 
 void claim_desk::onAnswerReply(const wire::answer_reply &reply)
--- a/packages/entry/src/entry_host.cpp
+++ b/packages/entry/src/entry_host.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds REREAD_TIMEOUT{ 1000 };
 // Time for the balancer to notice that this host is not ready.
 constexpr milliseconds UNREADY_LEAD{ 300 };
+// Time that a stop waits for a log that is away before it leaves its permits to be reclaimed.
+constexpr milliseconds HAND_OVER_TIMEOUT{ 5000 };
 
 } // namespace
 
@@ -207,7 +209,11 @@
         record.mutable_end()->set_basis(wire::END_BASIS_LEFT);
         m_session.propose(std::move(record));
     }
-    if ((quiet && m_ended) || timedOut) {
+    if (!quiet || m_session.logAvailable(now)) {
+        m_logHeardWhileStopping = now;
+    }
+    const bool logAway = now - m_logHeardWhileStopping > HAND_OVER_TIMEOUT;
+    if ((quiet && (m_ended || logAway)) || timedOut) {
         logEvent(log_level::info, "stopped", { { "host", m_settings.host }, { "handed_over", m_endProposed && m_ended ? "yes" : "no" } });
         m_root.stop();
         m_loop.stop();
--- a/packages/entry/src/request_router.cpp
+++ b/packages/entry/src/request_router.cpp
@@ -501,6 +501,7 @@
         record.done(answer);
     }
     if (record.ownsKey) {
+        m_claims.onFinished(record.keyHash);
         answerWaiters(record.keyHash);
     }
 }
--- a/scripts/make_examples.py
+++ b/scripts/make_examples.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Writes the two example configurations at the users' sizes of today.
 
-Each host's address can be replaced by one "name address" line each of a file given as the second argument.
+Usage: make_examples.py USER [--addresses FILE]; FILE holds one address a line for the hosts in their order.
 """
 import hashlib
 import sys
@@ -37,7 +37,7 @@
         center = data_centers[index % len(data_centers)]
         rack = index // len(data_centers) // RACK_SIZE
         name = f"{pool}-{i:02}"
-        address = addresses.get(name, f"127.0.1.{index + 1}:8080")
+        address = addresses[index] if index < len(addresses) else f"127.0.1.{index + 1}:8080"
         lines.append(f"      - {{ name: {name}, data_center: {center}, rack: rack-{rack}, address: \"{address}\", slots: 8, connections: 64 }}")
     return lines
 
@@ -71,8 +71,8 @@
 
 
 if __name__ == "__main__":
-    table = {}
-    if len(sys.argv) > 2:
-        with open(sys.argv[2], encoding="ascii") as file:
-            table = dict(line.split() for line in file)
-    sys.stdout.write(configuration(sys.argv[1], table))
+    listed = []
+    if len(sys.argv) > 3 and sys.argv[2] == "--addresses":
+        with open(sys.argv[3], encoding="ascii") as file:
+            listed = file.read().split()
+    sys.stdout.write(configuration(sys.argv[1], listed))
