--- a/packages/core/include/jujubespool/core/fleet_state.h
+++ b/packages/core/include/jujubespool/core/fleet_state.h
@@ -175,6 +175,9 @@
     // Wall time up to which issued keys of the range are not run unless their claim is known.
     wall_ms rangeFence(std::uint32_t range) const;
 
+    // Start of the host's last session, by its own clock; 0 when it had none.
+    wall_ms lastStart(const std::string &host) const;
+
     // Why the host may not leave service now, or nothing when the budgets allow it.
     std::optional<std::string> budgetObjection(const std::string &host) const;
 
--- a/packages/core/src/fleet_state.cpp
+++ b/packages/core/src/fleet_state.cpp
@@ -107,8 +107,8 @@
 applied fleet_state::openSession(const wire::record &record)
 {
     const wire::session_open &open = record.open();
-    if (record.session() == NO_SESSION || record.sequence() != 1 || open.host().empty()) {
-        return reject("a session needs an id, a host and sequence 1");
+    if (record.session() == NO_SESSION || open.host().empty()) {
+        return reject("a session needs an id and a host");
     }
     if (m_sessions.count(record.session()) > 0) {
         return { apply_verdict::duplicate, "opened before" };
@@ -124,7 +124,7 @@
             session.ended = true;
         }
     }
-    m_sessions[record.session()] = { open, 1, false };
+    m_sessions[record.session()] = { open, record.sequence(), false };
     return accept();
 }
 
@@ -623,6 +623,12 @@
     return found == m_claims.end() ? nullptr : &found->second;
 }
 
+wall_ms fleet_state::lastStart(const std::string &host) const
+{
+    const auto found = m_lastStart.find(host);
+    return found == m_lastStart.end() ? 0 : found->second;
+}
+
 wall_ms fleet_state::rangeFence(std::uint32_t range) const
 {
     const auto found = m_fences.find(range);
--- a/packages/entry/include/jujubespool/entry/admin_front.h
+++ b/packages/entry/include/jujubespool/entry/admin_front.h
@@ -1,14 +1,15 @@
 // The operators' HTTP interface: health, metrics, status, configuration, keys, hosts and waves.
 //
-//     admin_front admin(loop, parts);
+//     admin_front admin(loop, node, link, settings);
 //     admin.start(reason);
 //
 // docs/REFERENCE.md lists the paths. Changes are proposed on the log and answered when they are read back.
 #pragma once
 
-#include <jujubespool/entry/maintenance_driver.h>
-#include <jujubespool/entry/request_router.h>
+#include <jujubespool/entry/entry_node.h>
+#include <jujubespool/entry/event_loop.h>
 #include <jujubespool/entry/supervisor.h>
+#include <jujubespool/wire/peer_link.h>
 
 struct evhttp;
 struct evhttp_bound_socket;
@@ -16,27 +17,10 @@
 
 namespace jujubespool {
 
-// The parts of the process that operators can see and steer.
-struct admin_parts
-{
-    log_session &session;
-    peer_group &peers;
-    permit_wallet &wallet;
-    dispatcher &work;
-    request_router &router;
-    key_desk &keys;
-    maintenance_driver &driver;
-    answer_store &store;
-    loan_desk &loans;
-    metrics &figures;
-    const entry_settings &settings;
-    std::function<bool()> ready;
-};
-
 class admin_front : public component
 {
 public:
-    admin_front(event_loop &loop, admin_parts parts);
+    admin_front(event_loop &loop, entry_node &node, peer_link &link, const entry_settings &settings);
     ~admin_front() override;
 
     std::string name() const override
@@ -78,7 +62,9 @@
     std::optional<wire::wave_start> parseWave(const admin_request &request) const;
 
     event_loop &m_loop;
-    admin_parts m_parts;
+    entry_node &m_node;
+    peer_link &m_link;
+    const entry_settings &m_settings;
     evhttp *m_server = nullptr;
     std::string m_address;
     std::uint64_t m_lastAnswer = 0;
--- a/packages/entry/include/jujubespool/entry/caller_front.h
+++ b/packages/entry/include/jujubespool/entry/caller_front.h
@@ -5,6 +5,7 @@
 //     const std::string address = front.address();   // with the port that the kernel chose
 #pragma once
 
+#include <jujubespool/entry/event_loop.h>
 #include <jujubespool/entry/request_router.h>
 #include <jujubespool/entry/supervisor.h>
 #include <map>
@@ -29,8 +30,6 @@
     bool healthy(instant now) const override;
     void stop() override;
 
-    // Accepts no new connections; open ones go on.
-    void closeListener();
     const std::string &address() const
     {
         return m_address;
--- a/packages/entry/include/jujubespool/entry/claim_desk.h
+++ b/packages/entry/include/jujubespool/entry/claim_desk.h
@@ -29,7 +29,7 @@
     using claim_callback = std::function<void(const claim_decision &)>;
     using answer_callback = std::function<void(const fetched_answer &)>;
 
-    claim_desk(event_loop &loop, log_session &session, peer_group &peers, permit_wallet &wallet, answer_store &store);
+    claim_desk(scheduler &clock, log_session &session, peer_group &peers, permit_wallet &wallet, answer_store &store);
 
     // The verdict is CLAIM_VERDICT_UNSPECIFIED when no owner has answered before the deadline.
     void ask(const wire::claim &wanted, instant deadline, claim_callback done);
@@ -83,14 +83,15 @@
     void onAnswerRequest(session_id from, const wire::answer_request &request);
     void onAnswerReply(const wire::answer_reply &reply);
 
-    event_loop &m_loop;
+    scheduler &m_clock;
     log_session &m_session;
     peer_group &m_peers;
     permit_wallet &m_wallet;
     answer_store &m_store;
     claim_registry m_registry;
     std::map<std::uint64_t, pending_claim> m_claims;
-    struct waiting_peer {
+    struct waiting_peer
+    {
         session_id peer = NO_SESSION;
         wire::answer_request request;
     };
--- a/packages/entry/include/jujubespool/entry/event_loop.h
+++ b/packages/entry/include/jujubespool/entry/event_loop.h
@@ -9,17 +9,17 @@
 
 #include <event2/event.h>
 #include <functional>
-#include <jujubespool/core/time.h>
+#include <jujubespool/entry/scheduler.h>
 #include <memory>
 #include <vector>
 
 namespace jujubespool {
 
-class event_loop
+class event_loop : public scheduler
 {
 public:
     event_loop();
-    ~event_loop();
+    ~event_loop() override;
     event_loop(const event_loop &) = delete;
     event_loop &operator=(const event_loop &) = delete;
 
@@ -28,13 +28,12 @@
         return m_base;
     }
 
-    instant now() const;
-    wall_ms wallNow() const;
+    instant now() const override;
+    wall_ms wallNow() const override;
+    std::uint64_t randomNumber() override;
 
-    // Calls the function at each interval until the loop ends.
-    void repeat(milliseconds interval, std::function<void()> call);
-    // Calls the function once, after the delay.
-    void after(milliseconds delay, std::function<void()> call);
+    void repeat(milliseconds interval, std::function<void()> call) override;
+    void after(milliseconds delay, std::function<void()> call) override;
     // Calls the function on the loop when the process receives the signal.
     void onSignal(int signal, std::function<void()> call);
 
--- a/packages/entry/include/jujubespool/entry/key_desk.h
+++ b/packages/entry/include/jujubespool/entry/key_desk.h
@@ -1,6 +1,6 @@
 // Decides which team a key belongs to, including withdrawals that the log has not taken yet.
 //
-//     keys.withdraw(team, keyHash);              // in force here at once, at peers within a heartbeat
+//     keys.withdraw(team, keyHash, done, now);         // in force here at once, at peers within a heartbeat
 //     const team_spec *team = keys.teamOf(key);  // nullptr for unknown and withdrawn keys
 #pragma once
 
@@ -12,16 +12,18 @@
 class key_desk
 {
 public:
-    key_desk(log_session &session, peer_group &peers);
+    key_desk(scheduler &clock, log_session &session, peer_group &peers);
 
     // Withdraws the key here and at the peers without waiting for the log, and proposes the record.
-    void withdraw(const std::string &team, const std::string &keyHash, log_session::settled done);
+    void withdraw(const std::string &team, const std::string &keyHash, log_session::settled done, instant now);
     void grant(const std::string &team, const std::string &keyHash, log_session::settled done);
 
     const team_spec *teamOf(const std::string &key) const;
+    const team_spec *teamOfHash(const std::string &keyHash) const;
 
-    // Repeats withdrawals that the log does not hold yet, for peers that were cut off.
-    void repeat();
+    // Repeats withdrawals that the log does not hold yet: to peers that were cut off, and to the log when
+    // the host that began the withdrawal has not brought it there.
+    void repeat(instant now);
 
     std::size_t unlogged() const
     {
@@ -31,10 +33,16 @@
 private:
     void propose(const wire::key_change &change, log_session::settled done);
 
+    scheduler &m_clock;
     log_session &m_session;
     peer_group &m_peers;
+    struct withdrawal
+    {
+        wire::key_change change;
+        instant proposedAt;
+    };
     // Withdrawals by hash that the log may not hold yet.
-    std::map<std::string, wire::key_change> m_withdrawn;
+    std::map<std::string, withdrawal> m_withdrawn;
 };
 
 } // namespace jujubespool
--- a/packages/entry/include/jujubespool/entry/loan_desk.h
+++ b/packages/entry/include/jujubespool/entry/loan_desk.h
@@ -1,6 +1,6 @@
 // Borrows permits that waiting requests lack and lends those that this host does not need.
 //
-//     loan_desk loans(loop, session, peers, wallet, work);
+//     loan_desk loans(clock, session, peers, wallet, work);
 //     loans.ask(now);            // for what waits
 //     loans.serveWaiting(now);   // before own work takes freed slots
 //     loans.settle(now);         // returns what is idle
@@ -16,7 +16,7 @@
 class loan_desk
 {
 public:
-    loan_desk(event_loop &loop, log_session &session, peer_group &peers, permit_wallet &wallet, dispatcher &work);
+    loan_desk(scheduler &clock, log_session &session, peer_group &peers, permit_wallet &wallet, dispatcher &work);
 
     // Called when a loan has arrived, so that waiting work can start.
     void onArrival(std::function<void()> call)
@@ -52,7 +52,7 @@
     std::vector<wire::permit_entry> lendable(const wire::loan_request &request, instant now) const;
     bool mayLend(const wire::loan_request &request) const;
 
-    event_loop &m_loop;
+    scheduler &m_clock;
     log_session &m_session;
     peer_group &m_peers;
     permit_wallet &m_wallet;
--- a/packages/entry/include/jujubespool/entry/log_session.h
+++ b/packages/entry/include/jujubespool/entry/log_session.h
@@ -1,6 +1,6 @@
 // This process's session on the platform's log: follows the records and proposes its own.
 //
-//     log_session session(loop, log, settings, listener);
+//     log_session session(clock, log, settings, listener);
 //     session.start();
 //     session.propose(record, [](const applied &result) { ... });
 //
@@ -11,7 +11,7 @@
 #include <functional>
 #include <jujubespool/core/log_replay.h>
 #include <jujubespool/core/outbox.h>
-#include <jujubespool/entry/event_loop.h>
+#include <jujubespool/entry/scheduler.h>
 #include <jujubespool/entry/settings.h>
 #include <jujubespool/platform/platform.h>
 #include <map>
@@ -37,7 +37,7 @@
 public:
     using settled = std::function<void(const applied &)>;
 
-    log_session(event_loop &loop, log_client &log, const entry_settings &settings, session_listener &listener);
+    log_session(scheduler &clock, log_client &log, const entry_settings &settings, session_listener &listener);
 
     // Starts following; the session is opened on the log as soon as it answers.
     void start(const std::string &peerEndpoint);
@@ -101,11 +101,12 @@
     void keepRecent(log_offset offset, const std::string &data);
     void offer(log_offset offset, const std::string &data);
     void afterRecords();
+    void proposeOpen();
     void readNext();
     void onRead(const read_result &result);
     void flush();
 
-    event_loop &m_loop;
+    scheduler &m_clock;
     log_client &m_log;
     session_listener &m_listener;
     session_id m_id;
--- a/packages/entry/include/jujubespool/entry/maintenance_driver.h
+++ b/packages/entry/include/jujubespool/entry/maintenance_driver.h
@@ -1,6 +1,6 @@
 // Drives waves, notes failed and leaving hosts, frees what dead sessions held, and keeps snapshots.
 //
-//     maintenance_driver driver(loop, session, peers, work, platform, platform, settings);
+//     maintenance_driver driver(clock, session, peers, work, platform, platform, settings);
 //     driver.start();
 //
 // The live session with the lowest id acts; when it dies, the next one goes on from the log. Two that act
@@ -18,7 +18,7 @@
 class maintenance_driver
 {
 public:
-    maintenance_driver(event_loop &loop, log_session &session, peer_group &peers, dispatcher &work, host_directory &directory,
+    maintenance_driver(scheduler &clock, log_session &session, peer_group &peers, dispatcher &work, host_directory &directory,
                        worker_control &machines, const entry_settings &settings);
 
     void start();
@@ -48,7 +48,7 @@
     void proposeOnce(const std::string &subject, wire::record record);
     void keepSnapshots(instant now);
 
-    event_loop &m_loop;
+    scheduler &m_clock;
     log_session &m_session;
     peer_group &m_peers;
     dispatcher &m_work;
--- a/packages/entry/include/jujubespool/entry/peer_group.h
+++ b/packages/entry/include/jujubespool/entry/peer_group.h
@@ -1,6 +1,6 @@
 // The other entry hosts: links, heartbeats, suspicion and the relay of log records.
 //
-//     peer_group peers(loop, session, settings);
+//     peer_group peers(clock, session, settings);
 //     peers.subscribe(wire::peer_message::kLoan, [](const wire::peer_message &message) { ... });
 //     peers.send(peer, message);
 //
@@ -11,7 +11,7 @@
 #include <jujubespool/core/dispatcher.h>
 #include <jujubespool/core/failure_detector.h>
 #include <jujubespool/entry/log_session.h>
-#include <jujubespool/wire/peer_link.h>
+#include <jujubespool/wire/peer_transport.h>
 #include <map>
 #include <memory>
 #include <set>
@@ -25,11 +25,10 @@
 public:
     using handler = std::function<void(const wire::peer_message &)>;
 
-    peer_group(event_loop &loop, log_session &session, const entry_settings &settings);
+    peer_group(scheduler &clock, log_session &session, peer_transport &transport, const entry_settings &settings);
 
-    // Binds the peer address and returns the endpoint for the session's record.
-    std::optional<std::string> bind(failure &reason);
-    void start(dispatcher &work);
+    // Starts with the endpoint at which this host receives messages.
+    void start(dispatcher &work, const std::string &endpoint);
 
     void subscribe(wire::peer_message::BodyCase kind, handler call);
     void send(session_id peer, wire::peer_message message);
@@ -48,13 +47,9 @@
     {
         m_stopping = true;
     }
-    void setCut(bool cut)
-    {
-        m_link.setCut(cut);
-    }
     std::uint64_t sentBytes() const
     {
-        return m_link.sentBytes();
+        return m_transport.sentBytes();
     }
 
 private:
@@ -76,10 +71,10 @@
     void addCharges(wire::heartbeat &beat);
     void askForRecords(session_id peer, log_offset theirs);
 
-    event_loop &m_loop;
+    scheduler &m_clock;
     log_session &m_session;
     const entry_settings &m_settings;
-    peer_link m_link;
+    peer_transport &m_transport;
     dispatcher *m_work = nullptr;
     std::string m_endpoint;
     std::map<session_id, peer_record> m_peers;
--- a/packages/entry/include/jujubespool/entry/request_router.h
+++ b/packages/entry/include/jujubespool/entry/request_router.h
@@ -43,8 +43,8 @@
 public:
     using reply = std::function<void(const caller_answer &)>;
 
-    request_router(event_loop &loop, log_session &session, peer_group &peers, dispatcher &work, loan_desk &loans, claim_desk &claims,
-                   key_desk &keys, answer_store &store, http_client &upstreams, metrics &figures, const entry_settings &settings);
+    request_router(scheduler &clock, log_session &session, peer_group &peers, dispatcher &work, loan_desk &loans, claim_desk &claims,
+                   key_desk &keys, answer_store &store, http_sender &upstreams, metrics &figures, const entry_settings &settings);
 
     // Returns the id by which the request can be cancelled.
     request_id onRequest(caller_request request, reply done);
@@ -79,6 +79,9 @@
         caller_request request;
         reply done;
         instant arrived;
+        // Hash of the team's key; empty on an open queue.
+        std::string teamKeyHash;
+        // Hash of the idempotency key.
         std::string keyHash;
         std::string fingerprint;
         // This request, and not an earlier one, decides what is kept under its idempotency key.
@@ -105,9 +108,11 @@
     void finish(request_id id, caller_answer answer);
     void answerWaiters(const std::string &keyHash);
     void refuseUnsent(const dispatch &start);
+    // Returns the permits of a request that was not sent.
+    void giveBack(request_id id);
     void onClaimTimeout(request_id id);
 
-    event_loop &m_loop;
+    scheduler &m_clock;
     log_session &m_session;
     peer_group &m_peers;
     dispatcher &m_work;
@@ -115,7 +120,7 @@
     claim_desk &m_claims;
     key_desk &m_keys;
     answer_store &m_store;
-    http_client &m_upstreams;
+    http_sender &m_upstreams;
     metrics &m_figures;
     const entry_settings &m_settings;
     std::unordered_map<request_id, request_record> m_requests;
@@ -126,6 +131,7 @@
     bool m_stopping = false;
     bool m_paused = false;
     bool m_pumping = false;
+    instant m_checkedAt;
 };
 
 } // namespace jujubespool
--- a/packages/entry/src/admin_front.cpp
+++ b/packages/entry/src/admin_front.cpp
@@ -103,9 +103,11 @@
 
 } // namespace
 
-admin_front::admin_front(event_loop &loop, admin_parts parts)
+admin_front::admin_front(event_loop &loop, entry_node &node, peer_link &link, const entry_settings &settings)
     : m_loop(loop)
-    , m_parts(std::move(parts))
+    , m_node(node)
+    , m_link(link)
+    , m_settings(settings)
 {
 }
 
@@ -116,13 +118,13 @@
 
 bool admin_front::start(failure &reason)
 {
-    const host_port wanted = *parseAddress(m_address.empty() ? m_parts.settings.adminAddress : m_address);
+    const host_port wanted = *parseAddress(m_address.empty() ? m_settings.adminAddress : m_address);
     m_server = evhttp_new(m_loop.base());
     evhttp_set_max_body_size(m_server, static_cast<ev_ssize_t>(MAX_ADMIN_BODY));
     evhttp_set_gencb(m_server, onRequest, this);
     evhttp_bound_socket *bound = evhttp_bind_socket_with_handle(m_server, wanted.host.c_str(), wanted.port);
     if (bound == nullptr) {
-        reason = { step::control, m_parts.settings.adminAddress, "the admin address cannot be bound" };
+        reason = { step::control, m_settings.adminAddress, "the admin address cannot be bound" };
         stop();
         return false;
     }
@@ -182,12 +184,12 @@
     const std::vector<std::string> &path = request.path;
     const std::string &first = path.at(0);
     const std::string second = path.size() > 1 ? path[1] : "";
-    const fleet_state &state = m_parts.session.state();
+    const fleet_state &state = m_node.session().state();
     if (!request.post) {
         if (first == "healthz") {
             send(request.raw, STATUS_OK, "text/plain", "ok\n");
         } else if (first == "readyz") {
-            const bool ready = m_parts.ready();
+            const bool ready = m_node.ready();
             send(request.raw, ready ? STATUS_OK : STATUS_UNAVAILABLE, "text/plain", ready ? "ready\n" : "not ready\n");
         } else if (first == "metrics") {
             showMetrics(request);
@@ -198,7 +200,7 @@
         } else if (first == "v1" && second == "hosts") {
             sendJson(request.raw, STATUS_OK, { { "hosts", describeHosts(state) } });
         } else if (first == "v1" && second == "waves") {
-            sendJson(request.raw, STATUS_OK, { { "waves", describeWaves(state, m_parts.session.logAvailable(m_loop.now())) } });
+            sendJson(request.raw, STATUS_OK, { { "waves", describeWaves(state, m_node.session().logAvailable(m_loop.now())) } });
         } else {
             sendError(request.raw, STATUS_NOT_FOUND, "unknown path");
         }
@@ -216,7 +218,7 @@
         planWaveOnly(request);
     } else if (second == "waves" && path.size() == 4) {
         controlWave(request);
-    } else if (second == "faults" && m_parts.settings.allowFaults) {
+    } else if (second == "faults" && m_settings.allowFaults) {
         setFaults(request);
     } else {
         sendError(request.raw, STATUS_NOT_FOUND, "unknown path");
@@ -225,16 +227,16 @@
 
 void admin_front::showStatus(const admin_request &request)
 {
-    const fleet_state &state = m_parts.session.state();
+    const fleet_state &state = m_node.session().state();
     const instant now = m_loop.now();
     json members = json::array();
     for (const auto &[id, session] : state.sessions()) {
-        const bool own = id == m_parts.session.id();
+        const bool own = id == m_node.session().id();
         members.push_back({ { "session", fmt::format("{:x}", id) },
                             { "host", session.open.host() },
                             { "data_center", session.open.data_center() },
                             { "ended", session.ended },
-                            { "suspected", !own && !session.ended && m_parts.peers.isSuspected(id, now) } });
+                            { "suspected", !own && !session.ended && m_node.peers().isSuspected(id, now) } });
     }
     json teams = json::array();
     for (const team_spec &team : state.config().teams) {
@@ -242,30 +244,30 @@
         teams.push_back({ { "team", team.name },
                           { "share", team.share },
                           { "limit", team.limit },
-                          { "held", state.ledger().heldBy(resource, m_parts.session.id()) },
-                          { "in_use", m_parts.wallet.inUse(resource) },
-                          { "lent", m_parts.wallet.lentOut(resource, now) },
-                          { "borrowed", m_parts.wallet.borrowed(resource, now) } });
+                          { "held", state.ledger().heldBy(resource, m_node.session().id()) },
+                          { "in_use", m_node.wallet().inUse(resource) },
+                          { "lent", m_node.wallet().lentOut(resource, now) },
+                          { "borrowed", m_node.wallet().borrowed(resource, now) } });
     }
     const json body{
-        { "host", m_parts.settings.host },
-        { "data_center", m_parts.settings.dataCenter },
-        { "session", fmt::format("{:x}", m_parts.session.id()) },
-        { "ready", m_parts.ready() },
-        { "drives_maintenance", m_parts.driver.drives(now) },
+        { "host", m_settings.host },
+        { "data_center", m_settings.dataCenter },
+        { "session", fmt::format("{:x}", m_node.session().id()) },
+        { "ready", m_node.ready() },
+        { "drives_maintenance", m_node.driver().drives(now) },
         { "log",
-          { { "next_offset", m_parts.session.replay().nextOffset() },
-            { "age_ms", duration_cast<milliseconds>(m_parts.session.age(now)).count() },
-            { "available", m_parts.session.logAvailable(now) },
-            { "unconfirmed", m_parts.session.pending() },
-            { "snapshot_offset", m_parts.session.replay().snapshotOffset() } } },
+          { { "next_offset", m_node.session().replay().nextOffset() },
+            { "age_ms", duration_cast<milliseconds>(m_node.session().age(now)).count() },
+            { "available", m_node.session().logAvailable(now) },
+            { "unconfirmed", m_node.session().pending() },
+            { "snapshot_offset", m_node.session().replay().snapshotOffset() } } },
         { "edition", state.editionOffset() },
         { "members", members },
         { "teams", teams },
         { "queues",
-          { { "waiting", m_parts.work.waiting() }, { "running", m_parts.work.running() }, { "lingering", m_parts.work.lingering() } } },
+          { { "waiting", m_node.work().waiting() }, { "running", m_node.work().running() }, { "lingering", m_node.work().lingering() } } },
         { "claims", state.claimCount() },
-        { "ejected_workers", m_parts.work.ejectedWorkers() },
+        { "ejected_workers", m_node.work().ejectedWorkers() },
         { "pools", describeBuffer(state) }
     };
     sendJson(request.raw, STATUS_OK, body);
@@ -273,17 +275,17 @@
 
 void admin_front::showMetrics(const admin_request &request)
 {
-    metrics &figures = m_parts.figures;
+    metrics &figures = m_node.figures();
     const instant now = m_loop.now();
-    figures.gauge("log_age_seconds", static_cast<double>(m_parts.session.age(now).count()) / 1e6);
-    figures.gauge("log_next_offset", static_cast<double>(m_parts.session.replay().nextOffset()));
-    figures.gauge("records_undecodable", static_cast<double>(m_parts.session.replay().undecodable()));
-    figures.gauge("records_rejected", static_cast<double>(m_parts.session.rejectedCount()));
-    figures.gauge("requests_waiting", static_cast<double>(m_parts.work.waiting()));
-    figures.gauge("requests_running", static_cast<double>(m_parts.work.running()));
-    figures.gauge("answers_kept_bytes", static_cast<double>(m_parts.store.bytes()));
-    figures.gauge("peer_bytes_sent", static_cast<double>(m_parts.peers.sentBytes()));
-    figures.gauge("loans_received", static_cast<double>(m_parts.loans.grantsReceived()));
+    figures.gauge("log_age_seconds", static_cast<double>(m_node.session().age(now).count()) / 1e6);
+    figures.gauge("log_next_offset", static_cast<double>(m_node.session().replay().nextOffset()));
+    figures.gauge("records_undecodable", static_cast<double>(m_node.session().replay().undecodable()));
+    figures.gauge("records_rejected", static_cast<double>(m_node.session().rejectedCount()));
+    figures.gauge("requests_waiting", static_cast<double>(m_node.work().waiting()));
+    figures.gauge("requests_running", static_cast<double>(m_node.work().running()));
+    figures.gauge("answers_kept_bytes", static_cast<double>(m_node.store().bytes()));
+    figures.gauge("peer_bytes_sent", static_cast<double>(m_node.peers().sentBytes()));
+    figures.gauge("loans_received", static_cast<double>(m_node.loans().grantsReceived()));
     send(request.raw, STATUS_OK, "text/plain; version=0.0.4", figures.text());
 }
 
@@ -304,7 +306,7 @@
             return;
         }
         const bool accepted = result.verdict == apply_verdict::accepted;
-        const json body{ { "accepted", accepted }, { "reason", result.reason }, { "offset", m_parts.session.replay().nextOffset() } };
+        const json body{ { "accepted", accepted }, { "reason", result.reason }, { "offset", m_node.session().replay().nextOffset() } };
         sendJson(found->second, accepted ? STATUS_OK : STATUS_CONFLICT, body);
         m_open.erase(found);
     };
@@ -312,7 +314,7 @@
 
 void admin_front::proposeAndAnswer(const admin_request &request, wire::record record)
 {
-    m_parts.session.propose(std::move(record), answerer(request.raw));
+    m_node.session().propose(std::move(record), answerer(request.raw));
 }
 
 void admin_front::publish(const admin_request &request)
@@ -336,13 +338,13 @@
     record.mutable_publish()->set_text(request.body);
     const log_session::settled answer = answerer(request.raw);
     const std::uint64_t token = m_lastAnswer;
-    m_parts.session.propose(std::move(record), [this, token, answer, text = request.body](const applied &result) {
+    m_node.session().propose(std::move(record), [this, token, answer, text = request.body](const applied &result) {
         const auto found = m_open.find(token);
         if (result.verdict == apply_verdict::accepted || found == m_open.end()) {
             answer(result);
             return;
         }
-        const fleet_state &state = m_parts.session.state();
+        const fleet_state &state = m_node.session().state();
         sendJson(
             found->second, STATUS_CONFLICT,
             { { "error", result.reason }, { "offset", state.editionOffset() }, { "difference", differenceOf(state.editionText(), text) } });
@@ -357,11 +359,11 @@
     const std::string hash = body.at("hash");
     if (body.value("withdrawn", false)) {
         // The key stops working before the log has answered, so the operator is told at once.
-        m_parts.keys.withdraw(team, hash, {});
+        m_node.keys().withdraw(team, hash, {}, m_loop.now());
         sendJson(request.raw, STATUS_OK, { { "accepted", true }, { "reason", "withdrawn here and at every peer that can be reached" } });
         return;
     }
-    m_parts.keys.grant(team, hash, answerer(request.raw));
+    m_node.keys().grant(team, hash, answerer(request.raw));
 }
 
 void admin_front::changeHost(const admin_request &request)
@@ -398,7 +400,7 @@
         return start;
     }
     const std::string pool = body.value("pool", "");
-    for (const auto &[name, status] : m_parts.session.state().hosts()) {
+    for (const auto &[name, status] : m_node.session().state().hosts()) {
         if (pool.empty() || status.pool == pool) {
             start.add_hosts(name);
         }
@@ -426,7 +428,7 @@
         return;
     }
     const std::vector<std::string> hosts(start->hosts().begin(), start->hosts().end());
-    const wave_plan plan = planWave(m_parts.session.state(), hosts, {});
+    const wave_plan plan = planWave(m_node.session().state(), hosts, {});
     json rounds = json::array();
     for (const wave_round &round : plan.rounds) {
         rounds.push_back(round.hosts);
@@ -465,7 +467,7 @@
 void admin_front::setFaults(const admin_request &request)
 {
     const json body = json::parse(request.body);
-    m_parts.peers.setCut(body.value("cut_peers", false));
+    m_link.setCut(body.value("cut_peers", false));
     sendJson(request.raw, STATUS_OK, body);
 }
 
--- a/packages/entry/src/caller_front.cpp
+++ b/packages/entry/src/caller_front.cpp
@@ -186,13 +186,6 @@
     return m_server != nullptr;
 }
 
-void caller_front::closeListener()
-{
-    if (m_server != nullptr && m_server->server != nullptr) {
-        evconnlistener_disable(m_server->server);
-    }
-}
-
 void caller_front::stop()
 {
     if (m_server != nullptr) {
--- a/packages/entry/src/claim_desk.cpp
+++ b/packages/entry/src/claim_desk.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-claim_desk::claim_desk(event_loop &loop, log_session &session, peer_group &peers, permit_wallet &wallet, answer_store &store)
-    : m_loop(loop)
+claim_desk::claim_desk(scheduler &clock, log_session &session, peer_group &peers, permit_wallet &wallet, answer_store &store)
+    : m_clock(clock)
     , m_session(session)
     , m_peers(peers)
     , m_wallet(wallet)
@@ -31,7 +31,7 @@
 {
     const std::uint64_t token = ++m_lastToken;
     m_claims[token] = { wanted, deadline, {}, std::move(done) };
-    tryClaim(token, m_loop.now());
+    tryClaim(token, m_clock.now());
 }
 
 void claim_desk::tryClaim(std::uint64_t token, instant now)
@@ -40,7 +40,7 @@
     item.askedAt = now;
     const session_id owner = claimOwnerOf(item.wanted.key_hash(), m_session.state());
     if (owner == m_session.id()) {
-        const claim_decision decision = m_registry.decide(item.wanted, m_session.state(), m_wallet, m_loop.wallNow(), now);
+        const claim_decision decision = m_registry.decide(item.wanted, m_session.state(), m_wallet, m_clock.wallNow(), now);
         // A range that is being handed over has no owner until its next holder has read the record.
         if (decision.verdict != wire::CLAIM_VERDICT_NOT_OWNER) {
             finishClaim(token, decision);
@@ -65,7 +65,7 @@
 
 void claim_desk::onClaimRequest(session_id from, const wire::claim_request &request)
 {
-    const claim_decision decision = m_registry.decide(request.wanted(), m_session.state(), m_wallet, m_loop.wallNow(), m_loop.now());
+    const claim_decision decision = m_registry.decide(request.wanted(), m_session.state(), m_wallet, m_clock.wallNow(), m_clock.now());
     wire::peer_message message;
     wire::claim_reply &reply = *message.mutable_claim_answer();
     reply.set_token(request.token());
@@ -92,7 +92,7 @@
     item.request.set_fingerprint(fingerprint);
     item.deadline = deadline;
     item.done = std::move(done);
-    tryFetch(token, m_loop.now());
+    tryFetch(token, m_clock.now());
 }
 
 void claim_desk::tryFetch(std::uint64_t token, instant now)
@@ -116,7 +116,7 @@
 {
     const kept_request *kept = m_store.find(request.key_hash());
     if (kept != nullptr && kept->running && kept->fingerprint == request.fingerprint()) {
-        m_waitingPeers.emplace(request.key_hash(), waiting_peer { from, request });
+        m_waitingPeers.emplace(request.key_hash(), waiting_peer{ from, request });
     }
     sendAnswer(from, request);
 }
@@ -157,7 +157,7 @@
     const session_id next = reply.handed_to();
     if (next != NO_SESSION && next != m_session.id()) {
         found->second.runner = next;
-        tryFetch(reply.token(), m_loop.now());
+        tryFetch(reply.token(), m_clock.now());
         return;
     }
     finishFetch(reply.token(), { reply.known(), reply.answer(), next });
--- a/packages/entry/src/event_loop.cpp
+++ b/packages/entry/src/event_loop.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/entry/event_loop.h>
 
 #include <chrono>
+#include <random>
 
 namespace jujubespool {
 
@@ -39,6 +40,12 @@
     return static_cast<wall_ms>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
 }
 
+std::uint64_t event_loop::randomNumber()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>(1)(device);
+}
+
 event_loop::handler &event_loop::addHandler(std::function<void()> call)
 {
     m_handlers.push_back(std::make_unique<handler>());
--- a/packages/entry/src/key_desk.cpp
+++ b/packages/entry/src/key_desk.cpp
@@ -5,14 +5,21 @@
 
 namespace jujubespool {
 
-key_desk::key_desk(log_session &session, peer_group &peers)
-    : m_session(session)
+namespace {
+
+constexpr milliseconds PROPOSE_AGAIN_AFTER{ 2000 };
+
+} // namespace
+
+key_desk::key_desk(scheduler &clock, log_session &session, peer_group &peers)
+    : m_clock(clock)
+    , m_session(session)
     , m_peers(peers)
 {
     peers.subscribe(wire::peer_message::kWithdrawal, [this](const wire::peer_message &message) {
         const wire::key_change &change = message.withdrawal();
-        // A later grant on the log overrides a withdrawal that a peer still repeats.
-        if (m_withdrawn.emplace(change.key_hash(), change).second) {
+        const bool news = !m_session.state().isWithdrawn(change.key_hash());
+        if (news && m_withdrawn.emplace(change.key_hash(), withdrawal{ change, m_clock.now() }).second) {
             logEvent(log_level::info, "key-withdrawn", { { "team", change.team() }, { "by", "peer" } });
         }
     });
@@ -30,15 +37,15 @@
     });
 }
 
-void key_desk::withdraw(const std::string &team, const std::string &keyHash, log_session::settled done)
+void key_desk::withdraw(const std::string &team, const std::string &keyHash, log_session::settled done, instant now)
 {
     wire::key_change change;
     change.set_team(team);
     change.set_key_hash(keyHash);
     change.set_withdrawn(true);
-    m_withdrawn[keyHash] = change;
+    m_withdrawn[keyHash] = { change, now };
     propose(change, std::move(done));
-    repeat();
+    repeat(now);
 }
 
 void key_desk::grant(const std::string &team, const std::string &keyHash, log_session::settled done)
@@ -51,17 +58,29 @@
 
 const team_spec *key_desk::teamOf(const std::string &key) const
 {
-    const std::string hash = keyHashOf(key);
-    return m_withdrawn.count(hash) > 0 ? nullptr : m_session.state().teamOfKey(hash);
+    return teamOfHash(keyHashOf(key));
+}
+
+const team_spec *key_desk::teamOfHash(const std::string &keyHash) const
+{
+    return m_withdrawn.count(keyHash) > 0 ? nullptr : m_session.state().teamOfKey(keyHash);
 }
 
-void key_desk::repeat()
+void key_desk::repeat(instant now)
 {
     std::erase_if(m_withdrawn, [this](const auto &item) { return m_session.state().isWithdrawn(item.first); });
-    for (const auto &[hash, change] : m_withdrawn) {
+    std::vector<wire::key_change> stale;
+    for (auto &[hash, item] : m_withdrawn) {
         wire::peer_message message;
-        *message.mutable_withdrawal() = change;
+        *message.mutable_withdrawal() = item.change;
         m_peers.broadcast(message);
+        if (now - item.proposedAt > PROPOSE_AGAIN_AFTER && m_session.logAvailable(now)) {
+            item.proposedAt = now;
+            stale.push_back(item.change);
+        }
+    }
+    for (const wire::key_change &change : stale) {
+        propose(change, {});
     }
 }
 
--- a/packages/entry/src/loan_desk.cpp
+++ b/packages/entry/src/loan_desk.cpp
@@ -19,8 +19,8 @@
 
 } // namespace
 
-loan_desk::loan_desk(event_loop &loop, log_session &session, peer_group &peers, permit_wallet &wallet, dispatcher &work)
-    : m_loop(loop)
+loan_desk::loan_desk(scheduler &clock, log_session &session, peer_group &peers, permit_wallet &wallet, dispatcher &work)
+    : m_clock(clock)
     , m_session(session)
     , m_peers(peers)
     , m_wallet(wallet)
@@ -64,7 +64,7 @@
 
 void loan_desk::onRequest(session_id from, const wire::loan_request &request)
 {
-    const instant now = m_loop.now();
+    const instant now = m_clock.now();
     if (!tryLend(from, request, now)) {
         m_waiting[{ from, subjectOf(request) }] = { request, now };
     }
@@ -139,7 +139,7 @@
         return;
     }
     ++m_received;
-    m_wallet.borrow(from, grant, asked->second.askedAt, m_loop.now());
+    m_wallet.borrow(from, grant, asked->second.askedAt, m_clock.now());
     m_asked.erase(asked);
     if (m_arrival) {
         m_arrival();
--- a/packages/entry/src/log_session.cpp
+++ b/packages/entry/src/log_session.cpp
@@ -1,7 +1,7 @@
 #include <jujubespool/entry/log_session.h>
 
+#include <algorithm>
 #include <jujubespool/entry/logger.h>
-#include <random>
 
 namespace jujubespool {
 
@@ -15,38 +15,42 @@
 constexpr std::size_t MAX_RECENT_RECORDS = 4000;
 constexpr std::size_t MAX_RELAY_BYTES = 1048576;
 
-session_id randomSessionId()
-{
-    std::random_device device;
-    std::uniform_int_distribution<session_id> any(1);
-    return any(device);
-}
-
 } // namespace
 
-log_session::log_session(event_loop &loop, log_client &log, const entry_settings &settings, session_listener &listener)
-    : m_loop(loop)
+log_session::log_session(scheduler &clock, log_client &log, const entry_settings &settings, session_listener &listener)
+    : m_clock(clock)
     , m_log(log)
     , m_listener(listener)
-    , m_id(randomSessionId())
+    , m_id(clock.randomNumber())
     , m_replay(*this)
     , m_outbox(m_id)
 {
     m_open.set_host(settings.host);
     m_open.set_data_center(settings.dataCenter);
-    m_open.set_started_ms(loop.wallNow());
+    m_open.set_started_ms(clock.wallNow());
 }
 
 void log_session::start(const std::string &peerEndpoint)
 {
     m_open.set_peer_endpoint(peerEndpoint);
-    m_heardAt = m_loop.now();
+    m_heardAt = m_clock.now();
     m_logHeardAt = m_heardAt;
+    proposeOpen();
+    readNext();
+    m_clock.repeat(FLUSH_INTERVAL, [this] { flush(); });
+}
+
+void log_session::proposeOpen()
+{
     wire::record record;
     *record.mutable_open() = m_open;
-    propose(std::move(record));
-    readNext();
-    m_loop.repeat(FLUSH_INTERVAL, [this] { flush(); });
+    propose(std::move(record), [this](const applied &result) {
+        if (result.verdict == apply_verdict::rejected) {
+            // An earlier process of this host had a clock that was ahead of this one's.
+            m_open.set_started_ms(std::max(m_clock.wallNow(), state().lastStart(m_open.host()) + 1));
+            proposeOpen();
+        }
+    });
 }
 
 std::uint64_t log_session::propose(wire::record record, settled done)
@@ -61,7 +65,7 @@
 
 void log_session::flush()
 {
-    const std::vector<wire::record> batch = m_outbox.nextBatch(m_loop.now());
+    const std::vector<wire::record> batch = m_outbox.nextBatch(m_clock.now());
     if (batch.empty()) {
         return;
     }
@@ -72,9 +76,9 @@
     }
     m_log.append(bytes, [this](const append_result &result) {
         if (result.firstOffset) {
-            m_outbox.onAppended(m_loop.now());
+            m_outbox.onAppended(m_clock.now());
         } else {
-            m_outbox.onFailed(m_loop.now());
+            m_outbox.onFailed(m_clock.now());
             logFailure(log_level::debug, "append-failed", result.reason);
         }
         flush();
@@ -93,7 +97,7 @@
             logFailure(log_level::warning, "log-away", result.reason);
         }
         m_readFailed = true;
-        m_loop.after(READ_RETRY_DELAY, [this] { readNext(); });
+        m_clock.after(READ_RETRY_DELAY, [this] { readNext(); });
         return;
     }
     if (m_readFailed) {
@@ -103,10 +107,10 @@
     for (const log_record &record : result.page->records) {
         offer(record.offset, record.data);
     }
-    m_logHeardAt = m_loop.now();
+    m_logHeardAt = m_clock.now();
     if (m_replay.current() && m_replay.nextOffset() >= result.page->next) {
         m_caughtUp = true;
-        m_heardAt = m_loop.now();
+        m_heardAt = m_clock.now();
     }
     afterRecords();
     readNext();
@@ -141,7 +145,7 @@
         offer(record.offset(), record.data());
     }
     if (m_replay.current() && relay.records_size() > 0) {
-        m_heardAt = m_loop.now();
+        m_heardAt = m_clock.now();
     }
     afterRecords();
 }
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -71,7 +71,7 @@
     failure reason;
     if (!host.start(reason)) {
         logFailure(log_level::error, "start-failed", reason);
-        return exitWith(host.exitCode());
+        return exitWith(exit_code::failed);
     }
     loop.run();
     return exitWith(host.exitCode());
--- a/packages/entry/src/maintenance_driver.cpp
+++ b/packages/entry/src/maintenance_driver.cpp
@@ -15,9 +15,9 @@
 
 } // namespace
 
-maintenance_driver::maintenance_driver(event_loop &loop, log_session &session, peer_group &peers, dispatcher &work,
+maintenance_driver::maintenance_driver(scheduler &clock, log_session &session, peer_group &peers, dispatcher &work,
                                        host_directory &directory, worker_control &machines, const entry_settings &settings)
-    : m_loop(loop)
+    : m_clock(clock)
     , m_session(session)
     , m_peers(peers)
     , m_work(work)
@@ -29,9 +29,9 @@
 
 void maintenance_driver::start()
 {
-    m_snapshotAt = m_loop.now();
-    m_loop.repeat(TICK, [this] { tick(); });
-    m_loop.repeat(LIST_INTERVAL, [this] { refreshList(); });
+    m_snapshotAt = m_clock.now();
+    m_clock.repeat(TICK, [this] { tick(); });
+    m_clock.repeat(LIST_INTERVAL, [this] { refreshList(); });
 }
 
 bool maintenance_driver::drives(instant now) const
@@ -52,7 +52,7 @@
 
 void maintenance_driver::tick()
 {
-    const instant now = m_loop.now();
+    const instant now = m_clock.now();
     for (const auto &[id, session] : m_session.state().sessions()) {
         if (session.ended) {
             m_endedSince.try_emplace(id, now);
@@ -91,7 +91,7 @@
         }
         wire::record record;
         record.mutable_reclaim()->set_session(id);
-        record.mutable_reclaim()->set_fenced_ms(m_loop.wallNow() + 2 * static_cast<wall_ms>(MAX_CLOCK_SKEW.count()));
+        record.mutable_reclaim()->set_fenced_ms(m_clock.wallNow() + 2 * static_cast<wall_ms>(MAX_CLOCK_SKEW.count()));
         proposeOnce("reclaim/" + std::to_string(id), std::move(record));
     }
 }
@@ -122,7 +122,7 @@
     }
     // Every host stops using a leaving worker at once, whoever records it.
     m_work.setLeaving(std::move(leaving));
-    if (drives(m_loop.now())) {
+    if (drives(m_clock.now())) {
         endGoneSessions(gone);
     }
 }
@@ -134,7 +134,7 @@
         return;
     }
     const host_state state = found->second.state;
-    const bool acts = drives(m_loop.now());
+    const bool acts = drives(m_clock.now());
     if (listed.state != listed_state::live) {
         leaving.insert(listed.name);
     }
--- a/packages/entry/src/peer_group.cpp
+++ b/packages/entry/src/peer_group.cpp
@@ -23,32 +23,24 @@
 
 } // namespace
 
-peer_group::peer_group(event_loop &loop, log_session &session, const entry_settings &settings)
-    : m_loop(loop)
+peer_group::peer_group(scheduler &clock, log_session &session, peer_transport &transport, const entry_settings &settings)
+    : m_clock(clock)
     , m_session(session)
     , m_settings(settings)
-    , m_link(loop.base(), *this)
+    , m_transport(transport)
 {
+    transport.setReceiver(*this);
 }
 
-std::optional<std::string> peer_group::bind(failure &reason)
-{
-    const host_port address = *parseAddress(m_settings.peerAddress);
-    const std::string port = address.port == 0 ? "*" : std::to_string(address.port);
-    reason = { step::peer, m_settings.peerAddress, {} };
-    auto endpoint = m_link.bind("tcp://" + address.host + ":" + port, reason.reason);
-    m_endpoint = endpoint.value_or(std::string());
-    return endpoint;
-}
-
-void peer_group::start(dispatcher &work)
+void peer_group::start(dispatcher &work, const std::string &endpoint)
 {
+    m_endpoint = endpoint;
     m_work = &work;
     for (const std::string &address : m_settings.peers) {
         m_seeds.insert(seedId(address));
-        m_link.connect(seedId(address), "tcp://" + address);
+        m_transport.connect(seedId(address), "tcp://" + address);
     }
-    m_loop.repeat(HEARTBEAT_INTERVAL, [this] { sendHeartbeats(); });
+    m_clock.repeat(HEARTBEAT_INTERVAL, [this] { sendHeartbeats(); });
 }
 
 void peer_group::subscribe(wire::peer_message::BodyCase kind, handler call)
@@ -60,7 +52,7 @@
 {
     message.set_from_session(m_session.id());
     message.set_to_session(m_seeds.count(peer) > 0 ? NO_SESSION : peer);
-    m_link.send(peer, message);
+    m_transport.send(peer, message);
 }
 
 void peer_group::broadcast(const wire::peer_message &message)
@@ -78,7 +70,7 @@
         position->second.host = host;
         position->second.dataCenter = dataCenter;
         position->second.detector = std::make_unique<fixed_timeout_detector>(SUSPECT_AFTER);
-        m_link.connect(id, endpoint);
+        m_transport.connect(id, endpoint);
         logEvent(log_level::info, "peer-known", { { "host", host }, { "data_center", dataCenter }, { "endpoint", endpoint } });
     }
     return position->second;
@@ -94,7 +86,7 @@
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
         if (peer->second.onLog && !m_session.state().isLive(peer->first)) {
             logEvent(log_level::info, "peer-ended", { { "host", peer->second.host } });
-            m_link.disconnect(peer->first);
+            m_transport.disconnect(peer->first);
             peer = m_peers.erase(peer);
         } else {
             ++peer;
@@ -128,7 +120,7 @@
 
 void peer_group::onHeartbeat(session_id from, const wire::heartbeat &beat)
 {
-    const instant now = m_loop.now();
+    const instant now = m_clock.now();
     peer_record &peer = ensurePeer(from, beat.host(), beat.data_center(), beat.peer_endpoint());
     peer.detector->onHeartbeat(beat.counter(), now);
     peer.stopping = beat.stopping();
@@ -145,7 +137,7 @@
 
 void peer_group::askForRecords(session_id peer, log_offset theirs)
 {
-    const instant now = m_loop.now();
+    const instant now = m_clock.now();
     const bool behind = theirs > m_session.replay().nextOffset() || !m_session.replay().current();
     if (!behind || m_session.logAvailable(now) || now - m_askedAt < RELAY_INTERVAL) {
         return;
--- a/packages/entry/src/request_router.cpp
+++ b/packages/entry/src/request_router.cpp
@@ -7,7 +7,6 @@
 #include <jujubespool/core/idempotency_key.h>
 #include <jujubespool/entry/logger.h>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <strings.h>
 
 namespace jujubespool {
@@ -28,6 +27,8 @@
 // Time kept back from a caller's deadline for the answer's way home.
 constexpr milliseconds ANSWER_MARGIN{ 5 };
 
+constexpr milliseconds OVERDUE_CHECK{ 400 };
+
 // Header fields that belong to one connection or to this host and are not passed on.
 bool isPassedOn(const std::string &name)
 {
@@ -105,10 +106,10 @@
 
 } // namespace
 
-request_router::request_router(event_loop &loop, log_session &session, peer_group &peers, dispatcher &work, loan_desk &loans,
-                               claim_desk &claims, key_desk &keys, answer_store &store, http_client &upstreams, metrics &figures,
+request_router::request_router(scheduler &clock, log_session &session, peer_group &peers, dispatcher &work, loan_desk &loans,
+                               claim_desk &claims, key_desk &keys, answer_store &store, http_sender &upstreams, metrics &figures,
                                const entry_settings &settings)
-    : m_loop(loop)
+    : m_clock(clock)
     , m_session(session)
     , m_peers(peers)
     , m_work(work)
@@ -127,10 +128,12 @@
     const request_id id = ++m_lastId;
     failure reason;
     int status = STATUS_BAD_REQUEST;
+    // What was asked for under an idempotency key may have run through another host.
+    const outcome told = issueTimeOf(request.idempotencyKey) ? outcome::unknown : outcome::not_run;
     std::optional<request_record> record = parse(std::move(request), reason, status);
     if (!record) {
-        m_figures.count("requests_total", "outcome", "not-run");
-        done(problemAnswer(status, outcome::not_run, reason));
+        m_figures.count("requests_total", "outcome", std::string(nameOf(told)));
+        done(problemAnswer(status, told, reason));
         return 0;
     }
     record->spec.id = id;
@@ -143,7 +146,7 @@
 std::optional<request_router::request_record> request_router::parse(caller_request request, failure &reason, int &status)
 {
     request_record record;
-    record.arrived = m_loop.now();
+    record.arrived = m_clock.now();
     record.request = std::move(request);
     const service_spec *service = m_session.state().config().findService(record.request.service);
     if (m_stopping) {
@@ -184,7 +187,8 @@
         record.spec.team = OPEN_TEAM;
         return true;
     }
-    const team_spec *team = record.request.key.empty() ? nullptr : m_keys.teamOf(record.request.key);
+    record.teamKeyHash = keyHashOf(record.request.key);
+    const team_spec *team = record.request.key.empty() ? nullptr : m_keys.teamOfHash(record.teamKeyHash);
     if (team == nullptr) {
         reason = { step::authenticate, {}, record.request.key.empty() ? "a key is needed" : "the key is unknown or withdrawn" };
         return false;
@@ -196,7 +200,7 @@
 bool request_router::newsTooOld(const request_record &record) const
 {
     const milliseconds grace = m_session.state().config().keyGrace;
-    return record.spec.team != OPEN_TEAM && grace.count() > 0 && m_session.age(m_loop.now()) > grace;
+    return record.spec.team != OPEN_TEAM && grace.count() > 0 && m_session.age(m_clock.now()) > grace;
 }
 
 bool request_router::readTimes(request_record &record, const service_spec &service, failure &reason)
@@ -373,7 +377,7 @@
 {
     request_record &record = m_requests.at(id);
     failure reason;
-    if (!m_work.admit(record.spec, m_session.state(), m_loop.now(), reason)) {
+    if (!m_work.admit(record.spec, m_session.state(), m_clock.now(), reason)) {
         refuse(id, STATUS_UNAVAILABLE, outcome::not_run, reason);
         return;
     }
@@ -382,11 +386,12 @@
 
 void request_router::pump()
 {
-    if (m_pumping || m_paused) {
+    const instant now = m_clock.now();
+    // Checks that are overdue mean that the process was paused; what it knows may be out of date.
+    if (m_pumping || m_paused || now - m_checkedAt > OVERDUE_CHECK) {
         return;
     }
     m_pumping = true;
-    const instant now = m_loop.now();
     m_loans.serveWaiting(now);
     for (const dispatch &start : m_work.schedule(m_session.state(), now)) {
         send(start);
@@ -399,6 +404,12 @@
 {
     const auto found = m_requests.find(start.id);
     const bool known = found != m_requests.end();
+    if (known && found->second.spec.team != OPEN_TEAM && m_keys.teamOfHash(found->second.teamKeyHash) == nullptr) {
+        giveBack(start.id);
+        refuse(start.id, STATUS_UNAUTHORIZED, outcome::not_run,
+               { step::authenticate, {}, "the key was withdrawn while the request waited" });
+        return;
+    }
     const bool mayRun
         = known && (found->second.keyHash.empty() || found->second.spec.repeatable || m_store.dispatch(found->second.keyHash));
     if (!mayRun) {
@@ -414,19 +425,24 @@
     request.headers.push_back({ "Jujubespool-Request-Id", fmt::format("{:x}-{}", m_session.id(), start.id) });
     request.headers.push_back({ "Jujubespool-Team", record.spec.team });
     request.body = record.request.body;
-    request.timeout = std::max(milliseconds(1), duration_cast<milliseconds>(start.deadline - m_loop.now()));
+    request.timeout = std::max(milliseconds(1), duration_cast<milliseconds>(start.deadline - m_clock.now()));
     // A kept connection may be closed by the other end just now, which would leave the outcome unknown.
     request.freshConnection = !record.spec.repeatable;
     m_upstreams.send(request, [this, id = start.id, worker = start.worker](const http_result &result) { onUpstream(id, worker, result); });
 }
 
+void request_router::giveBack(request_id id)
+{
+    if (m_work.onResult(id, attempt_result::connect_failed, m_session.state(), m_clock.now()) == next_move::retry) {
+        m_work.cancel(id);
+    }
+}
+
 // The guard of at most once has refused a dispatch; nothing was sent, so the slot is free again.
 void request_router::refuseUnsent(const dispatch &start)
 {
     logEvent(log_level::error, "dispatch-refused", { { "worker", start.worker } });
-    if (m_work.onResult(start.id, attempt_result::connect_failed, m_session.state(), m_loop.now()) == next_move::retry) {
-        m_work.cancel(start.id);
-    }
+    giveBack(start.id);
     if (m_requests.count(start.id) > 0) {
         refuse(start.id, STATUS_BAD_GATEWAY, outcome::unknown, { step::claim, m_settings.host, "the request was dispatched before" });
     }
@@ -434,7 +450,7 @@
 
 void request_router::onUpstream(request_id id, const std::string &worker, const http_result &result)
 {
-    const next_move move = m_work.onResult(id, attemptResultOf(result), m_session.state(), m_loop.now());
+    const next_move move = m_work.onResult(id, attemptResultOf(result), m_session.state(), m_clock.now());
     const std::string ending(nameOf(result.end));
     const auto found = m_requests.find(id);
     if (result.end == http_end::connect_failed && found != m_requests.end() && found->second.ownsKey) {
@@ -492,7 +508,7 @@
     const request_record record = std::move(found->second);
     m_requests.erase(found);
     m_figures.count("requests_total", "outcome", std::string(nameOf(answer.outcome)));
-    m_figures.observe(record.spec.team, record.spec.priority, m_loop.now() - record.arrived);
+    m_figures.observe(record.spec.team, record.spec.priority, m_clock.now() - record.arrived);
     if (record.ownsKey) {
         m_store.finish(record.keyHash, keep(answer));
     }
@@ -519,10 +535,13 @@
         if (m_requests.count(id) == 0) {
             continue;
         }
-        if (kept != nullptr && !kept->running) {
+        const bool told = kept != nullptr && !kept->running;
+        // Without the claim this host cannot say that the work did not run elsewhere.
+        if (told && (kept->granted || !kept->retryable())) {
             answerKept(id, kept->answer);
         } else {
-            refuse(id, STATUS_BAD_GATEWAY, outcome::unknown, { step::claim, m_settings.host, "the first answer is kept no longer" });
+            refuse(id, STATUS_BAD_GATEWAY, outcome::unknown,
+                   { step::claim, m_settings.host, "what became of the first request is not known" });
         }
     }
 }
@@ -542,6 +561,7 @@
 
 void request_router::check(instant now)
 {
+    m_checkedAt = now;
     m_work.settle(now);
     for (const refusal &item : m_work.expire(now)) {
         const auto found = m_requests.find(item.id);
@@ -574,11 +594,10 @@
 
 std::string request_router::issueKey()
 {
-    static std::mt19937_64 random{ std::random_device{}() };
     std::string key;
     constexpr int MAX_TRIES = 10000;
     for (int i = 0; i < MAX_TRIES; ++i) {
-        key = fmt::format("{}-{:016x}", m_loop.wallNow(), random());
+        key = fmt::format("{}-{:016x}", m_clock.wallNow(), m_clock.randomNumber());
         if (claimOwnerOf(requestHashOf({ key }), m_session.state()) == m_session.id()) {
             return key;
         }
--- a/packages/platform/include/jujubespool/platform/http_client.h
+++ b/packages/platform/include/jujubespool/platform/http_client.h
@@ -82,18 +82,26 @@
 // Splits "ip:port".
 std::optional<host_port> parseAddress(const std::string &address);
 
-class http_client
+// Sends requests and tells how each ended.
+class http_sender
 {
 public:
     using callback = std::function<void(const http_result &)>;
 
+    virtual ~http_sender() = default;
+    // Calls done exactly once, never before send() has returned.
+    virtual void send(const http_request &request, callback done) = 0;
+};
+
+class http_client : public http_sender
+{
+public:
     explicit http_client(event_base *base);
-    ~http_client();
+    ~http_client() override;
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
 
-    // Calls done exactly once, never before send() has returned.
-    void send(const http_request &request, callback done);
+    void send(const http_request &request, callback done) override;
 
     // Drops the idle connections to the address.
     void forget(const std::string &address);
--- a/packages/wire/include/jujubespool/wire/peer_link.h
+++ b/packages/wire/include/jujubespool/wire/peer_link.h
@@ -1,6 +1,7 @@
 // Sends and receives protobuf messages between entry hosts over ZeroMQ.
 //
-//     peer_link link(base, receiver);
+//     peer_link link(base);
+//     link.setReceiver(receiver);
 //     const auto endpoint = link.bind("tcp://127.0.0.1:*", reason);
 //     link.connect(peerSession, peerEndpoint);
 //     link.send(peerSession, message);
@@ -11,7 +12,7 @@
 
 #include <cstdint>
 #include <event2/event.h>
-#include <jujubespool/wire/jujubespool.pb.h>
+#include <jujubespool/wire/peer_transport.h>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,27 +20,24 @@
 
 namespace jujubespool {
 
-class peer_receiver
+class peer_link : public peer_transport
 {
 public:
-    virtual ~peer_receiver() = default;
-    virtual void onPeerMessage(const wire::peer_message &message) = 0;
-};
-
-class peer_link
-{
-public:
-    peer_link(event_base *base, peer_receiver &receiver);
-    ~peer_link();
+    explicit peer_link(event_base *base);
+    ~peer_link() override;
     peer_link(const peer_link &) = delete;
     peer_link &operator=(const peer_link &) = delete;
 
     // Listens on the endpoint and returns it with the port that the kernel chose, or the reason for failing.
     std::optional<std::string> bind(const std::string &endpoint, std::string &reason);
 
-    void connect(std::uint64_t peer, const std::string &endpoint);
-    void disconnect(std::uint64_t peer);
-    void send(std::uint64_t peer, const wire::peer_message &message);
+    void setReceiver(peer_receiver &receiver) override
+    {
+        m_receiver = &receiver;
+    }
+    void connect(std::uint64_t peer, const std::string &endpoint) override;
+    void disconnect(std::uint64_t peer) override;
+    void send(std::uint64_t peer, const wire::peer_message &message) override;
 
     // While cut, nothing passes in either direction. For tests of partitions.
     void setCut(bool cut)
@@ -47,7 +45,7 @@
         m_cut = cut;
     }
 
-    std::uint64_t sentBytes() const
+    std::uint64_t sentBytes() const override
     {
         return m_sentBytes;
     }
@@ -57,7 +55,7 @@
     static void onReadable(evutil_socket_t, short, void *self);
     void drain();
 
-    peer_receiver &m_receiver;
+    peer_receiver *m_receiver = nullptr;
     std::unique_ptr<sockets> m_sockets;
     event *m_event = nullptr;
     event_base *m_base;
--- a/packages/wire/src/peer_link.cpp
+++ b/packages/wire/src/peer_link.cpp
@@ -18,9 +18,8 @@
     std::map<std::uint64_t, zmq::socket_t> outbound;
 };
 
-peer_link::peer_link(event_base *base, peer_receiver &receiver)
-    : m_receiver(receiver)
-    , m_sockets(std::make_unique<sockets>())
+peer_link::peer_link(event_base *base)
+    : m_sockets(std::make_unique<sockets>())
     , m_base(base)
 {
 }
@@ -60,8 +59,8 @@
     zmq::message_t received;
     while (m_sockets->inbound.recv(received, zmq::recv_flags::dontwait)) {
         wire::peer_message message;
-        if (!m_cut && message.ParseFromArray(received.data(), static_cast<int>(received.size()))) {
-            m_receiver.onPeerMessage(message);
+        if (!m_cut && m_receiver != nullptr && message.ParseFromArray(received.data(), static_cast<int>(received.size()))) {
+            m_receiver->onPeerMessage(message);
         }
     }
 }
