Refuse what cannot end before its deadline and lend busy slots one at a time

Cause: at five-fold demand the oldest requests started with too little time left, timed out at the upstream, and held their slots for the longest run time; busy hosts lent each other their slots in turn. Change: a request starts only if its team's measured run time fits before the deadline; admission uses the measured pace of the team; a busy host lends one slot to one asking peer in turn and only when the loan does not overshoot.

--- a/packages/core/include/jujubespool/core/dispatcher.h
+++ b/packages/core/include/jujubespool/core/dispatcher.h
@@ -17,6 +17,7 @@
 #include <jujubespool/core/fleet_state.h>
 #include <jujubespool/core/permit_wallet.h>
 #include <jujubespool/core/retry_budget.h>
+#include <jujubespool/core/run_estimate.h>
 #include <jujubespool/core/worker_selector.h>
 #include <map>
 #include <set>
@@ -81,6 +82,8 @@
     std::string pool;
     std::uint32_t count = 0;
     double virtualTime = 0;
+    // Share of the team that has the lowest virtual time.
+    std::uint32_t share = 1;
 };
 
 // Measured run time of one team on one service, which peers are told of.
@@ -107,7 +110,7 @@
     // Drops a waiting request. Fails when it is running or unknown.
     bool cancel(request_id id);
 
-    // Waiting requests that cannot start before their deadline any more.
+    // Waiting requests that cannot end before their deadline any more.
     std::vector<refusal> expire(instant now);
 
     // Frees permits of lost connections whose upstream must have ended.
@@ -151,9 +154,10 @@
     std::vector<std::string> ejectedWorkers() const;
 
 private:
-    struct service_estimate
-    {
-        double runUs = 0;
+    // What a team's dispatches on one pool tell about the wait of the next request.
+    struct dispatch_pace {
+        instant last;
+        run_estimate interval;
     };
     struct pool_lane
     {
@@ -164,6 +168,7 @@
         fair_queue queue;
         worker_selector selector;
         retry_budget retries;
+        std::map<std::string, dispatch_pace> paces;
         log_offset workersAsOf = 0;
         std::vector<std::string> workers;
     };
@@ -187,10 +192,14 @@
     pool_lane &laneOf(const std::string &pool);
     void refreshWorkers(const std::string &pool, pool_lane &lane, const fleet_state &state);
     std::uint32_t shareOf(const std::string &team, const fleet_state &state) const;
-    duration estimateOf(const std::string &service) const;
+    duration estimateOf(const request_spec &request) const;
+    // Whether the request could not end before its deadline if it started now.
+    bool isLate(const request_spec &request, instant now) const;
+    void notePace(pool_lane &lane, const std::string &team, instant now);
     void schedulePool(const std::string &pool, pool_lane &lane, const fleet_state &state, instant now, std::vector<dispatch> &starts);
     std::vector<std::string> freeWorkers(const pool_lane &lane, const fleet_state &state, instant now) const;
     dispatch start(request_record &request, const std::string &worker, pool_lane &lane, const fleet_state &state, instant now);
+    void refuseLate(const request_record &request, const std::string &why);
     void releasePermits(const request_record &request);
     void chargeMeasured(const request_record &request, pool_lane &lane, duration measured, const fleet_state &state);
     next_move retryOr(next_move otherwise, request_record request, pool_lane &lane, const fleet_state &state, instant now);
@@ -204,7 +213,9 @@
     std::unordered_map<request_id, request_record> m_running;
     std::set<std::pair<instant, request_id>> m_deadlines;
     std::multimap<instant, lingering_work> m_lingering;
-    std::map<std::string, service_estimate> m_estimates;
+    // By service and team.
+    std::map<std::pair<std::string, std::string>, run_estimate> m_estimates;
+    std::vector<refusal> m_refused;
     std::map<std::pair<std::string, std::string>, std::uint64_t> m_charged;
 };
 
--- a/packages/core/include/jujubespool/core/fair_queue.h
+++ b/packages/core/include/jujubespool/core/fair_queue.h
@@ -55,6 +55,9 @@
     // Lowest virtual time among the waiting teams, in microseconds per unit of share.
     std::optional<double> headVirtualTime() const;
 
+    // Waiting team with the lowest virtual time; empty when none waits.
+    std::string headTeam() const;
+
     std::size_t size() const
     {
         return m_positions.size();
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace jujubespool {
 
@@ -9,7 +10,6 @@
 
 constexpr std::size_t MAX_WAITING_PER_TEAM = 10000;
 constexpr std::size_t MAX_ATTEMPTS = 3;
-constexpr double ESTIMATE_SMOOTHING = 0.1;
 constexpr milliseconds INITIAL_ESTIMATE{ 5 };
 // Waiting requests for which one request for a loan asks at most.
 constexpr std::uint32_t MAX_WANTED = 256;
@@ -52,10 +52,25 @@
     return spec == nullptr ? 1 : spec->share;
 }
 
-duration dispatcher::estimateOf(const std::string &service) const
+duration dispatcher::estimateOf(const request_spec &request) const
 {
-    const auto found = m_estimates.find(service);
-    return found == m_estimates.end() ? duration(INITIAL_ESTIMATE) : duration(static_cast<duration::rep>(found->second.runUs));
+    const auto found = m_estimates.find({ request.service, request.team });
+    return found == m_estimates.end() ? duration(INITIAL_ESTIMATE) : found->second.mean();
+}
+
+bool dispatcher::isLate(const request_spec &request, instant now) const
+{
+    const auto found = m_estimates.find({ request.service, request.team });
+    return now + (found == m_estimates.end() ? duration(0) : found->second.likely()) > request.deadline;
+}
+
+void dispatcher::notePace(pool_lane &lane, const std::string &team, instant now)
+{
+    dispatch_pace &pace = lane.paces[team];
+    if (lane.queue.waiting(team) > 0 && pace.last != instant()) {
+        pace.interval.note(now - pace.last);
+    }
+    pace.last = now;
 }
 
 // Whether the requests ahead leave no chance of an answer before the deadline.
@@ -66,10 +81,12 @@
         const escrow_account *account = state.ledger().find(workerResource(name));
         slots += account == nullptr ? 0 : account->limit;
     }
-    const auto estimate = static_cast<double>(estimateOf(request.service).count());
     const auto ahead = static_cast<double>(lane.queue.waiting(request.team));
-    const double wait = slots == 0 ? 0 : ahead * estimate / slots;
-    return now + duration(static_cast<duration::rep>(wait)) > request.deadline;
+    const auto pace = lane.paces.find(request.team);
+    const double interval = pace != lane.paces.end() && pace->second.interval.known()
+        ? static_cast<double>(pace->second.interval.mean().count())
+        : static_cast<double>(estimateOf(request).count()) / std::max(1U, slots);
+    return isLate(request, now + duration(static_cast<duration::rep>(ahead * interval)));
 }
 
 bool dispatcher::admit(const request_spec &request, const fleet_state &state, instant now, failure &reason)
@@ -140,6 +157,10 @@
             return;
         }
         const auto found = m_waiting.find(next->id);
+        if (isLate(found->second.spec, now)) {
+            refuseLate(found->second, "too little time is left before the deadline");
+            continue;
+        }
         const auto worker = lane.selector.pick(open, found->second.tried, now);
         if (!worker) {
             lane.queue.putBack(*next, shareOf(next->team, state), duration(0));
@@ -148,6 +169,7 @@
         request_record request = std::move(found->second);
         m_waiting.erase(found);
         m_deadlines.erase({ request.spec.deadline, request.spec.id });
+        notePace(lane, request.spec.team, now);
         starts.push_back(start(request, *worker, lane, state, now));
         m_running[request.spec.id] = std::move(request);
         if (m_wallet.usable(workerResource(*worker), state.ledger(), now) == 0) {
@@ -166,7 +188,7 @@
     request.worker = worker;
     request.tried.push_back(worker);
     request.startedAt = now;
-    request.estimate = estimateOf(request.spec.service);
+    request.estimate = estimateOf(request.spec);
     lane.queue.charge(request.spec.team, shareOf(request.spec.team, state), request.estimate);
     const host_spec *host = state.config().findHost(worker);
     const service_spec *service = state.config().findService(request.spec.service);
@@ -213,9 +235,7 @@
         return retryOr(ranBefore ? next_move::unknown : next_move::not_run, std::move(request), lane, state, now);
     }
     if (result == attempt_result::answered) {
-        double &estimate
-            = m_estimates.try_emplace(request.spec.service, service_estimate{ static_cast<double>(measured.count()) }).first->second.runUs;
-        estimate += ESTIMATE_SMOOTHING * (static_cast<double>(measured.count()) - estimate);
+        m_estimates[{ request.spec.service, request.spec.team }].note(measured);
         return next_move::reply;
     }
     return retryOr(next_move::reply, std::move(request), lane, state, now);
@@ -249,16 +269,24 @@
 
 std::vector<refusal> dispatcher::expire(instant now)
 {
-    std::vector<refusal> refusals;
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const request_id id = m_deadlines.begin()->second;
         const request_record &request = m_waiting.at(id);
-        const std::string peer = request.tried.empty() ? std::string() : request.tried.back();
-        const outcome told = request.mayHaveRun ? outcome::unknown : outcome::not_run;
-        refusals.push_back({ id, told, { step::queue, peer, "the deadline passed while the request waited" } });
-        cancel(id);
+        laneOf(request.pool).queue.cancel(id);
+        refuseLate(request, "the deadline passed while the request waited");
     }
-    return refusals;
+    return std::exchange(m_refused, {});
+}
+
+// Drops a request that is in no queue any more.
+void dispatcher::refuseLate(const request_record &request, const std::string &why)
+{
+    const request_id id = request.spec.id;
+    const std::string peer = request.tried.empty() ? std::string() : request.tried.back();
+    const outcome told = request.mayHaveRun ? outcome::unknown : outcome::not_run;
+    m_refused.push_back({ id, told, { step::queue, peer, why } });
+    m_deadlines.erase({ request.spec.deadline, id });
+    m_waiting.erase(id);
 }
 
 void dispatcher::settle(instant now)
@@ -307,11 +335,12 @@
             }
         }
         if (startable > 0 && freeWorkers(lane, state, now).empty()) {
-            wanted.push_back({ {}, pool, std::min(startable, MAX_WANTED), lane.queue.headVirtualTime().value_or(0) });
+            wanted.push_back({ {}, pool, std::min(startable, MAX_WANTED), lane.queue.headVirtualTime().value_or(0),
+                               shareOf(lane.queue.headTeam(), state) });
         }
     }
     for (const auto &[team, count] : teams) {
-        wanted.push_back({ team, {}, std::min(count, MAX_WANTED), 0 });
+        wanted.push_back({ team, {}, std::min(count, MAX_WANTED), 0, 1 });
     }
     return wanted;
 }
--- a/packages/core/src/fair_queue.cpp
+++ b/packages/core/src/fair_queue.cpp
@@ -123,6 +123,16 @@
     return lowest;
 }
 
+std::string fair_queue::headTeam() const
+{
+    const auto &urgent = m_order[0];
+    const auto &normal = m_order[1];
+    if (urgent.empty() || (!normal.empty() && normal.begin()->first < urgent.begin()->first)) {
+        return normal.empty() ? std::string() : normal.begin()->second;
+    }
+    return urgent.begin()->second;
+}
+
 std::size_t fair_queue::waiting(const std::string &team) const
 {
     const auto found = m_teams.find(team);
--- /dev/null
+++ b/packages/core/test/fleet_state_test.cpp
@@ -0,0 +1,353 @@
+// Tests of the replay: records, races, snapshots and gaps.
+#include <fmt/format.h>
+#include <jujubespool/core/claim_registry.h>
+#include <jujubespool/core/hashing.h>
+#include <jujubespool/core/log_replay.h>
+#include <jujubespool/core/permit_planner.h>
+#include <jujubespool/core/wave_planner.h>
+#include <jujubespool/testing/table.h>
+
+namespace {
+
+using namespace jujubespool;
+
+const instant START = instant(seconds(1000));
+
+std::string textOf(int hosts, int percent, int limit)
+{
+    std::string text = "data_centers: [a]\npools:\n  - name: p\n    hosts:\n";
+    for (int i = 0; i < hosts; ++i) {
+        text += fmt::format("      - {{ name: h{}, data_center: a, rack: r{}, address: \"127.0.0.1:{}\" }}\n", i, i / 4, i + 1);
+    }
+    text += "  - { name: spare, spare: true }\n";
+    text += fmt::format("services:\n  - {{ name: s, pool: p, max_unavailable_percent: {}, max_run_ms: 100 }}\n", percent);
+    return text + fmt::format("teams:\n  - {{ name: t, share: 1, limit: {} }}\n", limit);
+}
+
+// Writes records as one session each and replays them.
+class log_writer : public replay_observer
+{
+public:
+    void open(session_id session, const std::string &host, wall_ms started)
+    {
+        wire::record record;
+        record.mutable_open()->set_host(host);
+        record.mutable_open()->set_data_center("a");
+        record.mutable_open()->set_started_ms(started);
+        write(session, record);
+    }
+
+    apply_verdict write(session_id session, wire::record record)
+    {
+        record.set_session(session);
+        record.set_sequence(++m_sequences[session]);
+        return append(record);
+    }
+
+    apply_verdict append(const wire::record &record)
+    {
+        m_last = record;
+        m_bytes.push_back(record.SerializeAsString());
+        m_replay.offer(m_bytes.size() - 1, m_bytes.back());
+        return m_verdict;
+    }
+
+    apply_verdict publish(session_id session, log_offset base, const std::string &text)
+    {
+        wire::record record;
+        record.mutable_publish()->set_base(base);
+        record.mutable_publish()->set_text(text);
+        return write(session, record);
+    }
+
+    apply_verdict take(session_id session, const std::string &resource, std::uint32_t count)
+    {
+        wire::record record;
+        wire::permit_entry &entry = *record.mutable_take()->add_entries();
+        entry.set_resource(resource);
+        entry.set_count(count);
+        return write(session, record);
+    }
+
+    apply_verdict giveBack(session_id session, const std::string &resource, std::uint32_t count)
+    {
+        wire::record record;
+        wire::permit_entry &entry = *record.mutable_give()->add_entries();
+        entry.set_resource(resource);
+        entry.set_count(count);
+        return write(session, record);
+    }
+
+    apply_verdict drain(session_id session, const std::string &host, const std::string &pool = {}, const std::string &wave = {})
+    {
+        wire::record record;
+        record.mutable_drain()->set_host(host);
+        record.mutable_drain()->set_move_to_pool(pool);
+        record.mutable_drain()->set_wave(wave);
+        return write(session, record);
+    }
+
+    apply_verdict step(session_id session, const std::string &host, const std::string &wave, wire::maintenance_step step)
+    {
+        wire::record record;
+        record.mutable_step()->set_host(host);
+        record.mutable_step()->set_wave(wave);
+        record.mutable_step()->set_step(step);
+        return write(session, record);
+    }
+
+    void onApplied(log_offset, const wire::record &, const applied &result) override
+    {
+        m_verdict = result.verdict;
+    }
+    void onUndecodable(log_offset) override
+    {
+    }
+    void onLoaded(log_offset) override
+    {
+    }
+
+    const fleet_state &state() const
+    {
+        return m_replay.state();
+    }
+    const std::vector<std::string> &bytes() const
+    {
+        return m_bytes;
+    }
+    log_replay &replay()
+    {
+        return m_replay;
+    }
+
+private:
+    log_replay m_replay { *this };
+    std::map<session_id, std::uint64_t> m_sequences;
+    std::vector<std::string> m_bytes;
+    wire::record m_last;
+    apply_verdict m_verdict = apply_verdict::accepted;
+};
+
+struct wave_case {
+    const char *name;
+    int hosts;
+    int percent;
+    std::size_t expectedRounds;
+};
+
+const wave_case WAVES[] = {
+    { "one at a time", 10, 10, 10 },
+    { "a fifth", 10, 20, 5 },
+    { "a remainder", 10, 30, 4 },
+    { "all at once", 8, 100, 1 },
+};
+
+} // namespace
+
+Test(fleetState, rejectsARacingEditionAndKeepsTheFirst)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.open(2, "e2", 1);
+    cr_assert_eq(log.publish(1, 0, textOf(4, 50, 4)), apply_verdict::accepted);
+    cr_assert_eq(log.publish(2, 0, textOf(5, 50, 4)), apply_verdict::rejected, "expected the edition with an old base to be rejected");
+    cr_assert_eq(log.state().config().hosts.size(), 4U);
+    cr_assert_eq(log.publish(2, log.state().editionOffset(), textOf(5, 50, 4)), apply_verdict::accepted);
+}
+
+Test(fleetState, rejectsTheSecondCopyOfAnAppend)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.publish(1, 0, textOf(4, 50, 4));
+    wire::record record;
+    record.set_session(1);
+    record.set_sequence(3);
+    wire::permit_entry &entry = *record.mutable_take()->add_entries();
+    entry.set_resource(teamResource("t"));
+    entry.set_count(1);
+    cr_assert_eq(log.append(record), apply_verdict::accepted);
+    cr_assert_eq(log.append(record), apply_verdict::duplicate);
+    cr_assert_eq(log.state().ledger().heldBy(teamResource("t"), 1), 1U);
+    record.set_sequence(5);
+    cr_assert_eq(log.append(record), apply_verdict::rejected, "expected a record out of order to be rejected");
+}
+
+Test(fleetState, neverAssignsMoreThanALimit)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.open(2, "e2", 1);
+    log.publish(1, 0, textOf(4, 50, 4));
+    cr_assert_eq(log.take(1, teamResource("t"), 3), apply_verdict::accepted);
+    cr_assert_eq(log.take(2, teamResource("t"), 2), apply_verdict::rejected);
+    cr_assert_eq(log.state().ledger().find(teamResource("t"))->totalHeld(), 3U);
+}
+
+Test(fleetState, aNewProcessOfAHostEndsTheOldOne)
+{
+    log_writer log;
+    log.open(1, "e1", 10);
+    log.open(2, "e1", 20);
+    cr_assert_not(log.state().isLive(1));
+    cr_assert(log.state().isLive(2));
+    log.open(3, "e1", 15);
+    cr_assert(log.state().isLive(2), "expected an earlier start to be rejected");
+}
+
+Test(fleetState, aHostMovesOnlyWhenNobodyHoldsASlot)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.publish(1, 0, textOf(4, 50, 4));
+    log.take(1, workerResource("h0"), 8);
+    cr_assert_eq(log.drain(1, "h0", "spare"), apply_verdict::accepted);
+    cr_assert_str_eq(log.state().hosts().at("h0").pool.c_str(), "p", "expected the host to stay while a slot is held");
+    log.giveBack(1, workerResource("h0"), 8);
+    cr_assert_str_eq(log.state().hosts().at("h0").pool.c_str(), "spare");
+    cr_assert_eq(log.state().hosts().at("h0").state, host_state::active);
+}
+
+Test(fleetState, failuresCountAgainstTheSameBudget)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.publish(1, 0, textOf(4, 50, 4));
+    cr_assert_eq(log.step(1, "h3", {}, wire::MAINTENANCE_STEP_FAILED), apply_verdict::accepted);
+    cr_assert_eq(log.drain(1, "h0"), apply_verdict::accepted);
+    cr_assert_eq(log.drain(1, "h1"), apply_verdict::rejected, "expected the budget of two to be spent");
+}
+
+Test(fleetState, aWaveStepIsTakenOnce)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.open(2, "e2", 1);
+    log.publish(1, 0, textOf(4, 50, 4));
+    wire::record record;
+    record.mutable_wave()->set_name("w");
+    record.mutable_wave()->add_hosts("h0");
+    log.write(1, record);
+    cr_assert_eq(log.drain(1, "h0", {}, "w"), apply_verdict::accepted);
+    cr_assert_eq(log.drain(2, "h0", {}, "w"), apply_verdict::rejected);
+    cr_assert_eq(log.step(1, "h0", "w", wire::MAINTENANCE_STEP_REBOOT), apply_verdict::accepted);
+    cr_assert_eq(log.step(2, "h0", "w", wire::MAINTENANCE_STEP_REBOOT), apply_verdict::rejected);
+    cr_assert_eq(log.step(2, "h0", "w", wire::MAINTENANCE_STEP_VERIFIED), apply_verdict::accepted);
+    cr_assert_eq(log.state().waves().at("w").state, wave_state::finished);
+}
+
+Test(logReplay, skipsAndCountsWhatDoesNotDecode)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.replay().offer(1, "\xff\xff garbage");
+    cr_assert_eq(log.replay().undecodable(), 1U);
+    cr_assert_eq(log.replay().nextOffset(), 2U);
+    cr_assert(log.state().isLive(1));
+}
+
+Test(logReplay, startsFromTheNewestSnapshotAfterTheCut)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.publish(1, 0, textOf(40, 50, 4));
+    log.take(1, workerResource("h0"), 8);
+    log.drain(1, "h0");
+    const log_offset cut = log.bytes().size();
+    for (wire::record &record : snapshotRecords(log.state())) {
+        log.write(1, record);
+    }
+    log.take(1, teamResource("t"), 2);
+    log_writer late;
+    for (log_offset offset = cut; offset < log.bytes().size(); ++offset) {
+        cr_assert(offset == cut || !late.replay().current() || late.state().editionOffset() > 0, "expected a gap before the snapshot");
+        late.replay().offer(offset, log.bytes()[offset]);
+    }
+    cr_assert(late.replay().current());
+    cr_assert_eq(late.state().editionOffset(), log.state().editionOffset());
+    cr_assert(late.state().serialize() == log.state().serialize(), "expected the late reader's state to equal the first one's");
+}
+
+Test(logReplay, anEarlierSnapshotDoesNotReplaceTheState)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.publish(1, 0, textOf(4, 50, 4));
+    const std::vector<wire::record> old = snapshotRecords(log.state());
+    log.publish(1, log.state().editionOffset(), textOf(6, 50, 4));
+    const log_offset edition = log.state().editionOffset();
+    // A gap, and behind it a snapshot that was taken before the edition.
+    wire::record chunk = old.front();
+    chunk.set_session(1);
+    chunk.set_sequence(99);
+    log.replay().offer(100, chunk.SerializeAsString());
+    cr_assert_eq(log.state().editionOffset(), edition, "expected the edition to stay in force");
+}
+
+Test(claimRegistry, fencesKeysOfADeadOwner)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.publish(1, 0, textOf(4, 50, 4));
+    const std::string hash = requestHashOf({ "5000-key" });
+    log.take(1, rangeResource(claimRangeOf(hash)), 1);
+    log.open(2, "e1", 2);
+    wire::record reclaim;
+    reclaim.mutable_reclaim()->set_session(1);
+    reclaim.mutable_reclaim()->set_fenced_ms(6000);
+    log.write(2, reclaim);
+    log.take(2, rangeResource(claimRangeOf(hash)), 1);
+    claim_registry registry(2);
+    const permit_wallet wallet(2);
+    wire::claim wanted;
+    wanted.set_key_hash(hash);
+    wanted.set_runner(2);
+    wanted.set_issued_ms(5000);
+    cr_assert_eq(registry.decide(wanted, log.state(), wallet, 7000, START).verdict, wire::CLAIM_VERDICT_UNKNOWN);
+    wanted.set_issued_ms(6500);
+    cr_assert_eq(registry.decide(wanted, log.state(), wallet, 7000, START).verdict, wire::CLAIM_VERDICT_FIRST);
+    wanted.set_nonce(2);
+    cr_assert_eq(registry.decide(wanted, log.state(), wallet, 7000, START).verdict, wire::CLAIM_VERDICT_REPEATED);
+    wanted.set_fingerprint("other");
+    cr_assert_eq(registry.decide(wanted, log.state(), wallet, 7000, START).verdict, wire::CLAIM_VERDICT_MISMATCH);
+}
+
+ParameterizedTestParameters(wavePlanner, reachesTheLowerBound)
+{
+    return rowsOf(WAVES);
+}
+
+ParameterizedTest(std::size_t *row, wavePlanner, reachesTheLowerBound)
+{
+    const wave_case &item = WAVES[*row];
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.publish(1, 0, textOf(item.hosts, item.percent, 4));
+    std::vector<std::string> hosts;
+    for (const auto &[name, status] : log.state().hosts()) {
+        hosts.push_back(name);
+    }
+    const wave_plan plan = planWave(log.state(), hosts, {});
+    cr_assert_eq(plan.rounds.size(), item.expectedRounds, "%s: expected %zu rounds, got %zu", item.name, item.expectedRounds, plan.rounds.size());
+    cr_assert_eq(plan.lowerBound, item.expectedRounds);
+    for (const wave_round &round : plan.rounds) {
+        cr_assert_leq(round.hosts.size(), log.state().allowedUnavailable("p"));
+    }
+}
+
+Test(permitPlanner, splitsEachLimitBetweenTheSessions)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.open(2, "e2", 1);
+    log.open(3, "e3", 1);
+    log.publish(1, 0, textOf(4, 50, 7));
+    std::uint32_t targets = 0;
+    for (const session_id session : log.state().liveSessions()) {
+        const permit_plan plan = planPermits(log.state(), session, permit_wallet(session), false, START);
+        for (const wire::permit_entry &entry : plan.take.entries()) {
+            targets += entry.resource() == teamResource("t") ? entry.count() : 0;
+        }
+    }
+    cr_assert_eq(targets, 7U, "expected the plans of all sessions to take 7, got %u", targets);
+}
--- a/packages/entry/src/loan_desk.cpp
+++ b/packages/entry/src/loan_desk.cpp
@@ -9,8 +9,6 @@
 constexpr milliseconds ASK_INTERVAL{ 25 };
 // A request that could not be served is remembered this long; the peer asks again if it still waits.
 constexpr milliseconds REQUEST_LIFETIME{ 100 };
-// Difference of virtual times below which slots stay where they are, in microseconds per unit of share.
-constexpr double VIRTUAL_TIME_HYSTERESIS = 2000;
 
 std::string subjectOf(const wire::loan_request &request)
 {
@@ -47,6 +45,7 @@
         request.set_team(want.team);
         request.set_pool(want.pool);
         request.set_virtual_time(want.virtualTime);
+        request.set_share(want.share);
         const auto count = static_cast<std::uint32_t>(peers.size());
         request.set_count((want.count + count - 1) / count);
         instant &last = m_lastAsked[subjectOf(request)];
@@ -54,7 +53,9 @@
             continue;
         }
         last = now;
+        const session_id busy = peers[m_lastToken % peers.size()];
         for (const session_id peer : peers) {
+            request.set_from_busy(peer == busy);
             request.set_token(++m_lastToken);
             m_asked[m_lastToken] = { peer, now };
             m_peers.send(peer, message);
@@ -77,14 +78,20 @@
         return !m_work.needs(teamResource(request.team()), m_session.state());
     }
     const std::optional<double> own = m_work.headVirtualTime(request.pool());
-    return !own || request.virtual_time() + VIRTUAL_TIME_HYSTERESIS < *own;
+    if (!own) {
+        return true;
+    }
+    // A slot for the length of a loan advances the borrower's team by this much; less would be overshot.
+    const double worth = static_cast<double>(duration(LOAN_DURATION).count()) / std::max(1U, request.share());
+    return request.from_busy() && request.virtual_time() + worth < *own;
 }
 
 std::vector<wire::permit_entry> loan_desk::lendable(const wire::loan_request &request, instant now) const
 {
     std::vector<wire::permit_entry> entries;
     const escrow_ledger &ledger = m_session.state().ledger();
-    std::uint32_t left = request.count();
+    const bool busy = request.team().empty() && m_work.headVirtualTime(request.pool()).has_value();
+    std::uint32_t left = busy ? 1 : request.count();
     const auto add = [&](const std::string &resource) {
         const std::uint32_t count = std::min(left, m_wallet.usable(resource, ledger, now));
         if (count > 0) {
--- a/packages/entry/test/fake_fleet.h
+++ b/packages/entry/test/fake_fleet.h
@@ -224,6 +224,16 @@
     {
         return m_appends;
     }
+    // Requests that the upstreams have started.
+    std::uint64_t started() const
+    {
+        return m_started;
+    }
+    // Drains that were accepted.
+    std::uint64_t drains() const
+    {
+        return m_drains;
+    }
 
     fake_faults faults;
     std::map<std::string, upstream_fault> upstreamFaults;
@@ -282,8 +292,13 @@
     std::vector<std::string> m_violations;
     caller_figures m_figures;
     std::uint64_t m_lastTag = 0;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_drains = 0;
 };
 
+// Time that a fake machine's reboot takes; settable, because a wave's pace depends on it.
+milliseconds &fakeRebootTime();
+
 // Returns the value of a header, or an empty text.
 std::string headerOf(const http_request &request, const std::string &name);
 
--- /dev/null
+++ b/tools/measure/main.cpp
@@ -0,0 +1,95 @@
+// Runs the measures that are asked for.
+#include "measure.h"
+
+#include <cstdlib>
+#include <ctime>
+#include <docopt/docopt.h>
+#include <map>
+#include <sstream>
+#include <sys/resource.h>
+
+namespace measure {
+
+std::string fleetText(const fleet_size &size)
+{
+    std::string text = "data_centers: [";
+    for (int i = 0; i < size.dataCenters; ++i) {
+        text += fmt::format("{}dc{}", i == 0 ? "" : ", ", i);
+    }
+    text += "]\npools:\n";
+    for (int pool = 0, host = 0; pool < size.pools; ++pool) {
+        text += fmt::format("  - name: p{}\n    hosts:\n", pool);
+        const int end = static_cast<int>(static_cast<long>(size.hosts) * (pool + 1) / size.pools);
+        for (; host < end; ++host) {
+            const int center = host % size.dataCenters;
+            const int rack = host / size.dataCenters / 20;
+            text += fmt::format("      - {{ name: h{:05}, data_center: dc{}, rack: r{}, address: \"10.0.{}.{}:80\", slots: {} }}\n", host, center,
+                                rack, host / 250, host % 250, size.slots);
+        }
+    }
+    text += "services:\n";
+    for (int pool = 0; pool < size.pools; ++pool) {
+        text += fmt::format("  - {{ name: s{0}, pool: p{0}, max_unavailable_percent: 20, max_run_ms: 1000 }}\n", pool);
+    }
+    text += "teams:\n";
+    for (int team = 0; team < size.teams; ++team) {
+        text += fmt::format("  - {{ name: t{}, share: {}, limit: {} }}\n", team, team % 7 + 1, 10 + team % 90);
+    }
+    return text;
+}
+
+double processorSeconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
+}
+
+double peakMemoryMiB()
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    return static_cast<double>(usage.ru_maxrss) / 1024;
+}
+
+} // namespace measure
+
+namespace {
+
+const char USAGE[] = R"(measure - measures of docs/MEASURES.md.
+
+Usage:
+  measure [--seed=N] [--only=LIST] [--quick]
+
+Options:
+  --seed=N     Seed of every random choice [default: 1].
+  --only=LIST  Measures, separated by commas: permits, once, share, retry, waves, placement, replay, detectors, capacity.
+  --quick      Shorter runs.
+)";
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    using namespace measure;
+    auto arguments = docopt::docopt(USAGE, { argv + 1, argv + argc });
+    const options chosen { static_cast<std::uint64_t>(arguments["--seed"].asLong()), arguments["--quick"].asBool() };
+    const std::map<std::string, void (*)(const options &)> known { { "permits", measurePermits },     { "once", measureOnce },
+                                                                   { "share", measureShare },         { "retry", measureRetry },
+                                                                   { "waves", measureWaves },                                                                            { "replay", measureReplay },       { "detectors", measureDetectors },
+                                                                   { "capacity", measureCapacity } };
+    std::string list = "permits,once,share,retry,waves,replay,detectors,capacity";
+    if (arguments["--only"]) {
+        list = arguments["--only"].asString();
+    }
+    std::istringstream stream(list);
+    for (std::string name; std::getline(stream, name, ',');) {
+        const auto found = known.find(name);
+        if (found == known.end()) {
+            fmt::print(stderr, "measure: unknown measure '{}'\n", name);
+            return EXIT_FAILURE;
+        }
+        found->second(chosen);
+    }
+    return EXIT_SUCCESS;
+}
