Share fairly over the whole fleet by weights, not by serving the team behind at once

Cause: every host served the team with the lowest fleet-wide time first, all of them before any had heard of the others' service (heartbeats come each 100 ms), so the small teams' parts swung. Change: local virtual times decide; a team that is behind over the fleet gets an exponential weight over 500 ms.

--- a/packages/core/include/jujubespool/core/dispatcher.h
+++ b/packages/core/include/jujubespool/core/dispatcher.h
@@ -113,6 +113,9 @@
     // Waiting requests that cannot end before their deadline any more.
     std::vector<refusal> expire(instant now);
 
+    // Adjusts the teams' weights to what the whole fleet has run. Called at intervals.
+    void adjustWeights(duration elapsed);
+
     // Frees permits of lost connections whose upstream must have ended.
     void settle(instant now);
 
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -301,11 +301,18 @@
     }
 }
 
+void dispatcher::adjustWeights(duration elapsed)
+{
+    for (auto &[pool, lane] : m_lanes) {
+        lane.queue.adjustWeights(elapsed);
+    }
+}
+
 void dispatcher::chargePeer(const charged_time &charged, const fleet_state &state)
 {
     const service_spec *service = state.config().findService(charged.service);
     if (service != nullptr) {
-        laneOf(service->pool).queue.charge(charged.team, shareOf(charged.team, state), duration(charged.runUs));
+        laneOf(service->pool).queue.chargePeer(charged.team, shareOf(charged.team, state), duration(charged.runUs));
     }
 }
 
--- a/packages/core/src/fair_queue.cpp
+++ b/packages/core/src/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/core/fair_queue.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace jujubespool {
 
@@ -25,6 +26,7 @@
     if (queue.idle()) {
         // A team that was idle does not save its unused share up.
         queue.virtualTime = std::max(queue.virtualTime, m_systemTime);
+        queue.fleetTime = std::max(queue.fleetTime, m_fleetTime);
     }
     const std::size_t index = indexOf(request.priority);
     std::list<request_id> &requests = queue.requests[index];
@@ -109,28 +111,61 @@
 void fair_queue::charge(const std::string &team, std::uint32_t share, duration runTime)
 {
     team_queue &queue = m_teams[team];
-    setVirtualTime(team, queue, queue.virtualTime + static_cast<double>(runTime.count()) / share);
+    const double time = static_cast<double>(runTime.count()) / share;
+    queue.fleetTime += time;
+    setVirtualTime(team, queue, queue.virtualTime + time / queue.boost);
 }
 
-std::optional<double> fair_queue::headVirtualTime() const
+void fair_queue::chargePeer(const std::string &team, std::uint32_t share, duration runTime)
+{
+    m_teams[team].fleetTime += static_cast<double>(runTime.count()) / share;
+}
+
+void fair_queue::adjustWeights(duration elapsed)
+{
+    double shares = 0;
+    double times = 0;
+    for (const auto &[team, queue] : m_teams) {
+        if (!queue.idle()) {
+            shares += queue.share;
+            times += queue.share * queue.fleetTime;
+        }
+    }
+    if (shares == 0) {
+        return;
+    }
+    const double mean = times / shares;
+    constexpr double SMOOTHING = 0.2;
+    const double rate = std::max(0.0, mean - m_fleetTime) / static_cast<double>(elapsed.count());
+    m_fleetRate += SMOOTHING * (rate - m_fleetRate);
+    m_fleetTime = std::max(m_fleetTime, mean);
+    const double horizon = std::max(1.0, m_fleetRate * static_cast<double>(duration(CATCH_UP_TIME).count()));
+    for (auto &[team, queue] : m_teams) {
+        queue.boost = queue.idle() ? 1 : std::clamp(std::exp((mean - queue.fleetTime) / horizon), 1 / MAX_BOOST, MAX_BOOST);
+    }
+}
+
+const std::pair<const std::string, fair_queue::team_queue> *fair_queue::head() const
 {
-    std::optional<double> lowest;
-    for (const order &waiting : m_order) {
-        if (!waiting.empty()) {
-            lowest = std::min(lowest.value_or(waiting.begin()->first), waiting.begin()->first);
+    const std::pair<const std::string, team_queue> *lowest = nullptr;
+    for (const auto &item : m_teams) {
+        if (!item.second.idle() && (lowest == nullptr || item.second.fleetTime < lowest->second.fleetTime)) {
+            lowest = &item;
         }
     }
     return lowest;
 }
 
+std::optional<double> fair_queue::headVirtualTime() const
+{
+    const auto *lowest = head();
+    return lowest == nullptr ? std::nullopt : std::optional(lowest->second.fleetTime);
+}
+
 std::string fair_queue::headTeam() const
 {
-    const auto &urgent = m_order[0];
-    const auto &normal = m_order[1];
-    if (urgent.empty() || (!normal.empty() && normal.begin()->first < urgent.begin()->first)) {
-        return normal.empty() ? std::string() : normal.begin()->second;
-    }
-    return urgent.begin()->second;
+    const auto *lowest = head();
+    return lowest == nullptr ? std::string() : lowest->first;
 }
 
 std::size_t fair_queue::waiting(const std::string &team) const
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -46,6 +46,7 @@
     m_driver.start();
     m_loans.onArrival([this] { m_router.pump(); });
     m_clock.repeat(TICK, [this] { tick(); });
+    m_clock.repeat(HEARTBEAT_INTERVAL, [this] { m_work.adjustWeights(HEARTBEAT_INTERVAL); });
     m_clock.repeat(KEY_REPEAT_INTERVAL, [this] { m_keys.repeat(m_clock.now()); });
 }
 
