Publish editions as differences that readers apply without parsing

An edition could also move or remove any number of hosts at once, beyond every budget. Change: an edition after the first carries one patch of lines and a typed change; hosts that an edition moves wait for their budget; an edition that removes more hosts than the budget allows is rejected.

--- a/packages/core/include/jujubespool/core/configuration.h
+++ b/packages/core/include/jujubespool/core/configuration.h
@@ -44,6 +44,8 @@
     queue_kind queue = queue_kind::keyed;
     // Longest time that an upstream may run one request; the upstream ends it then.
     milliseconds maxRun{ 10000 };
+
+    bool operator==(const service_spec &other) const = default;
 };
 
 struct host_spec
@@ -56,12 +58,16 @@
     // Requests that the host runs at once, 1 to 1024.
     std::uint32_t slots = 8;
     std::uint32_t connections = 64;
+
+    bool operator==(const host_spec &other) const = default;
 };
 
 struct pool_spec
 {
     std::string name;
     bool spare = false;
+
+    bool operator==(const pool_spec &other) const = default;
 };
 
 struct team_spec
@@ -73,19 +79,11 @@
     std::uint32_t limit = 1;
     // Lower-case hexadecimal SHA-256 of each key.
     std::vector<std::string> keyHashes;
-};
 
-struct job_spec
-{
-    std::string name;
-    std::string pool;
-    std::uint32_t replicas = 1;
-    std::uint32_t cores = 1;
-    std::uint32_t memoryGb = 1;
-    std::uint32_t accelerators = 0;
-    request_class priority = request_class::normal;
+    bool operator==(const team_spec &other) const = default;
 };
 
+// Every list is sorted by name.
 struct configuration
 {
     std::vector<std::string> dataCenters;
--- a/packages/core/include/jujubespool/core/fleet_state.h
+++ b/packages/core/include/jujubespool/core/fleet_state.h
@@ -17,7 +17,6 @@
 #include <jujubespool/core/failure.h>
 #include <jujubespool/wire/jujubespool.pb.h>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -57,6 +56,8 @@
     std::string moveToPool;
     // Wave that drains the host; empty when an operator does.
     std::string wave;
+    // Pool that the last edition puts the host into; empty when it is there or an operator has moved it.
+    std::string wantedPool;
     // Version that the last roll-out has installed.
     std::string version;
     // The configuration names the host no longer; it is forgotten once it is drained.
@@ -109,12 +110,6 @@
     }
 
     const configuration &config() const
-    {
-        return *m_config;
-    }
-
-    // Shared with whoever has to outlive the next edition.
-    std::shared_ptr<const configuration> sharedConfig() const
     {
         return m_config;
     }
@@ -125,9 +120,10 @@
         return m_editionOffset;
     }
 
-    const std::string &editionText() const
+    std::string editionText() const;
+    const std::vector<std::string> &editionLines() const
     {
-        return m_editionText;
+        return m_editionLines;
     }
 
     const escrow_ledger &ledger() const
@@ -207,9 +203,11 @@
     applied startWave(const wire::wave_start &start);
     applied controlWave(const wire::wave_control &control);
 
-    void adoptConfig(const configuration &next);
-    void adoptHosts(const configuration &next);
-    void adoptTeams(const configuration &next);
+    void adoptChange(const wire::config_change &change);
+    void adoptTeams(const wire::config_change &change);
+    void adoptHost(const host_spec &host);
+    void forgetKeys(const std::string &team);
+    std::optional<std::string> removalObjection(const wire::config_change &change) const;
     void indexPools();
     void setState(const std::string &host, host_state state);
     void limitSlots(const std::string &host);
@@ -222,8 +220,8 @@
     log_offset m_nextOffset = 0;
     log_offset m_editionOffset = 0;
     log_offset m_hostsChangedAt = 0;
-    std::string m_editionText;
-    std::shared_ptr<const configuration> m_config;
+    std::vector<std::string> m_editionLines;
+    configuration m_config;
     escrow_ledger m_ledger;
     std::map<session_id, session_status> m_sessions;
     std::map<std::string, std::uint64_t> m_lastStart;
--- a/packages/core/src/configuration.cpp
+++ b/packages/core/src/configuration.cpp
@@ -10,8 +10,9 @@
 
 template <typename T> const T *findByName(const std::vector<T> &items, std::string_view name)
 {
-    const auto found = std::find_if(items.begin(), items.end(), [&](const T &item) { return item.name == name; });
-    return found == items.end() ? nullptr : &*found;
+    const auto found
+        = std::lower_bound(items.begin(), items.end(), name, [](const T &item, std::string_view wanted) { return item.name < wanted; });
+    return found == items.end() || found->name != name ? nullptr : &*found;
 }
 
 std::vector<std::string> linesOf(const std::string &text)
--- a/packages/core/src/configuration_text.cpp
+++ b/packages/core/src/configuration_text.cpp
@@ -157,6 +157,7 @@
         m_reader.list(m_root, "pools", true, [this](const YAML::Node &node) { readPool(node); });
         m_reader.list(m_root, "services", true, [this](const YAML::Node &node) { readService(node); });
         m_reader.list(m_root, "teams", true, [this](const YAML::Node &node) { readTeam(node); });
+        sortLists();
         checkReferences();
         checkCycles();
         checkBudgets();
@@ -164,6 +165,17 @@
     }
 
 private:
+    void sortLists()
+    {
+        const auto byName = [](const auto &left, const auto &right) {
+            return left.name < right.name;
+        };
+        std::sort(m_config.services.begin(), m_config.services.end(), byName);
+        std::sort(m_config.pools.begin(), m_config.pools.end(), byName);
+        std::sort(m_config.hosts.begin(), m_config.hosts.end(), byName);
+        std::sort(m_config.teams.begin(), m_config.teams.end(), byName);
+    }
+
     void readDataCenter(const YAML::Node &node)
     {
         if (!node.IsScalar()) {
@@ -327,8 +339,12 @@
     // A budget that permits no host to leave makes maintenance impossible.
     void checkBudgets()
     {
+        std::map<std::string, std::size_t> hostsOfPool;
+        for (const host_spec &host : m_config.hosts) {
+            ++hostsOfPool[host.pool];
+        }
         for (const service_spec &service : m_config.services) {
-            const std::size_t hosts = m_config.hostsOf(service.pool).size();
+            const std::size_t hosts = hostsOfPool[service.pool];
             if (hosts * service.maxUnavailablePercent < MAX_PERCENT) {
                 m_reader.problem(m_nodes.at(service.name),
                                  fmt::format("service {}: with {} hosts a budget of {}% never permits one host to be out of service",
--- a/packages/core/src/edition.cpp
+++ b/packages/core/src/edition.cpp
@@ -1,12 +1,23 @@
 #include <jujubespool/core/edition.h>
 
+#include <jujubespool/core/config_change.h>
+
 namespace jujubespool {
 
-wire::edition editionFor(const fleet_state &state, const std::string &text)
+std::optional<wire::edition> editionFor(const fleet_state &state, const std::string &text, std::vector<config_problem> &problems)
 {
+    const std::optional<configuration> next = parseConfiguration(text, problems);
+    if (!next) {
+        return std::nullopt;
+    }
     wire::edition edition;
     edition.set_base(state.editionOffset());
-    edition.set_text(text);
+    if (state.editionOffset() == 0) {
+        edition.set_text(text);
+        return edition;
+    }
+    *edition.mutable_patch() = patchBetween(state.editionLines(), splitLines(text));
+    *edition.mutable_change() = changeBetween(state.config(), *next);
     return edition;
 }
 
--- a/packages/core/src/fleet_snapshot.cpp
+++ b/packages/core/src/fleet_snapshot.cpp
@@ -1,6 +1,8 @@
 // Writes and reads the complete image of a fleet_state.
 #include <jujubespool/core/fleet_state.h>
 
+#include <jujubespool/core/config_change.h>
+
 namespace jujubespool {
 
 namespace {
@@ -35,6 +37,7 @@
     image.set_move_to_pool(status.moveToPool);
     image.set_wave(status.wave);
     image.set_version(status.version);
+    image.set_wanted_pool(status.wantedPool);
 }
 
 } // namespace
@@ -44,7 +47,7 @@
     wire::fleet_snapshot image;
     image.set_next_offset(m_nextOffset);
     image.set_edition_offset(m_editionOffset);
-    image.set_edition_text(m_editionText);
+    image.set_edition_text(editionText());
     image.set_newest_issued_ms(m_newestIssued);
     for (const auto &[id, session] : m_sessions) {
         wire::session_image &item = *image.add_sessions();
@@ -97,7 +100,8 @@
     fleet_state state;
     for (const wire::host_image &item : image.hosts()) {
         const host_state hostState = static_cast<host_state>(item.state());
-        state.m_hosts[item.host()] = { item.pool(), hostState, item.move_to_pool(), item.wave(), item.version(), false };
+        state.m_hosts[item.host()]
+            = { item.pool(), hostState, item.move_to_pool(), item.wave(), item.wanted_pool(), item.version(), false };
     }
     for (const wire::holding_image &item : image.holdings()) {
         state.m_ledger.restore(item.resource(), item.session(), item.count());
@@ -109,10 +113,16 @@
             reason = { step::log, {}, "the snapshot's configuration is invalid: " + problems.front().message };
             return std::nullopt;
         }
-        state.adoptConfig(*config);
+        state.adoptChange(changeBetween(configuration(), *config));
+        for (const wire::host_image &item : image.hosts()) {
+            host_status &status = state.m_hosts[item.host()];
+            status.wantedPool = item.wanted_pool();
+            status.removed = config->findHost(item.host()) == nullptr;
+        }
+        state.indexPools();
     }
     state.m_editionOffset = image.edition_offset();
-    state.m_editionText = image.edition_text();
+    state.m_editionLines = splitLines(image.edition_text());
     for (const wire::session_image &item : image.sessions()) {
         state.m_sessions[item.id()] = { item.open(), item.last_sequence(), item.ended() };
     }
--- a/packages/core/src/fleet_state.cpp
+++ b/packages/core/src/fleet_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <jujubespool/core/config_change.h>
 #include <jujubespool/core/hashing.h>
 
 namespace jujubespool {
@@ -32,7 +33,6 @@
 } // namespace
 
 fleet_state::fleet_state()
-    : m_config(std::make_shared<configuration>())
 {
     for (std::uint32_t range = 0; range < CLAIM_RANGES; ++range) {
         m_ledger.setLimit(rangeResource(range), 1);
@@ -147,17 +147,53 @@
     if (edition.base() != m_editionOffset) {
         return reject("edited from edition {}, but {} is in force", edition.base(), m_editionOffset);
     }
-    std::vector<config_problem> problems;
-    const std::optional<configuration> next = parseConfiguration(edition.text(), problems);
-    if (!next) {
-        return reject("line {}: {}", problems.front().line, problems.front().message);
+    if (!edition.has_change()) {
+        std::vector<config_problem> problems;
+        const std::optional<configuration> next = parseConfiguration(edition.text(), problems);
+        if (!next) {
+            return reject("line {}: {}", problems.front().line, problems.front().message);
+        }
+        m_editionLines = splitLines(edition.text());
+        adoptChange(changeBetween(m_config, *next));
+        m_editionOffset = offset;
+        return accept();
+    }
+    if (const auto objection = removalObjection(edition.change())) {
+        return reject("{}", *objection);
+    }
+    if (!applyPatch(m_editionLines, edition.patch())) {
+        return reject("the edition changes lines that do not exist");
     }
+    adoptChange(edition.change());
     m_editionOffset = offset;
-    m_editionText = edition.text();
-    adoptConfig(*next);
     return accept();
 }
 
+std::string fleet_state::editionText() const
+{
+    return joinLines(m_editionLines);
+}
+
+// An edition that removes hosts takes them out of service, which the budgets bound as they bound a drain.
+std::optional<std::string> fleet_state::removalObjection(const wire::config_change &change) const
+{
+    std::map<std::string, std::uint32_t> leaving;
+    for (const std::string &name : change.removed_hosts()) {
+        const auto status = m_hosts.find(name);
+        if (status != m_hosts.end() && !isOut(status->second.state)) {
+            ++leaving[status->second.pool];
+        }
+    }
+    const std::set<std::string> removedPools(change.removed_pools().begin(), change.removed_pools().end());
+    for (const auto &[pool, count] : leaving) {
+        if (removedPools.count(pool) == 0 && unavailable(pool) + count > allowedUnavailable(pool)) {
+            return fmt::format("the edition removes {} hosts of pool {}, which may lose {} at a time", count, pool,
+                               allowedUnavailable(pool) - std::min(allowedUnavailable(pool), unavailable(pool)));
+        }
+    }
+    return std::nullopt;
+}
+
 applied fleet_state::changeKey(const wire::key_change &change)
 {
     const auto known = m_configKeys.find(change.key_hash());
@@ -165,7 +201,7 @@
     if (owner != change.team()) {
         return reject("the key belongs to another team");
     }
-    if (!change.withdrawn() && m_config->findTeam(change.team()) == nullptr) {
+    if (!change.withdrawn() && m_config.findTeam(change.team()) == nullptr) {
         return reject("unknown team {}", change.team());
     }
     m_keys[change.key_hash()] = change;
@@ -248,7 +284,7 @@
 void fleet_state::forgetOldClaims()
 {
     // Twice the promised time, because the hosts' wall clocks differ.
-    const wall_ms kept = 2 * static_cast<wall_ms>(m_config->claimRetention.count());
+    const wall_ms kept = 2 * static_cast<wall_ms>(m_config.claimRetention.count());
     while (!m_claimAges.empty() && m_claimAges.begin()->first + kept < m_newestIssued) {
         m_claims.erase(m_claimAges.begin()->second);
         m_claimAges.erase(m_claimAges.begin());
@@ -263,7 +299,7 @@
     }
     host_status &status = found->second;
     const bool moves = !drain.move_to_pool().empty();
-    if (moves && (m_config->findPool(drain.move_to_pool()) == nullptr || drain.move_to_pool() == status.pool)) {
+    if (moves && (m_config.findPool(drain.move_to_pool()) == nullptr || drain.move_to_pool() == status.pool)) {
         return reject("host {} cannot move to pool '{}'", drain.host(), drain.move_to_pool());
     }
     if (status.state != host_state::active) {
@@ -441,7 +477,7 @@
 void fleet_state::limitSlots(const std::string &host)
 {
     m_hostsChangedAt = m_nextOffset;
-    const host_spec *spec = m_config->findHost(host);
+    const host_spec *spec = m_config.findHost(host);
     const host_status &status = m_hosts.at(host);
     const bool serves = spec != nullptr && status.state == host_state::active && !status.removed;
     const escrow_account *account = m_ledger.find(workerResource(host));
@@ -453,6 +489,12 @@
 {
     if (resource.compare(0, WORKER_PREFIX.size(), WORKER_PREFIX) == 0) {
         settleHost(resource.substr(WORKER_PREFIX.size()));
+        return;
+    }
+    const escrow_account *account = m_ledger.find(resource);
+    if (account != nullptr && account->limit == 0 && account->holdings.empty()) {
+        // The account of a removed team.
+        m_ledger.erase(resource);
     }
 }
 
@@ -478,78 +520,90 @@
     if (status.state != host_state::draining) {
         return;
     }
-    if (status.moveToPool.empty() || m_config->findPool(status.moveToPool) == nullptr) {
+    if (status.moveToPool.empty() || m_config.findPool(status.moveToPool) == nullptr) {
         status.moveToPool.clear();
         setState(host, host_state::drained);
         return;
     }
     status.pool = status.moveToPool;
     status.moveToPool.clear();
+    status.wantedPool.clear();
     status.state = host_state::active;
     limitSlots(host);
     indexPools();
 }
 
-void fleet_state::adoptConfig(const configuration &next)
+void fleet_state::adoptChange(const wire::config_change &change)
 {
-    adoptTeams(next);
-    adoptHosts(next);
-    indexPools();
+    for (const wire::team_image &team : change.teams()) {
+        forgetKeys(team.name());
+    }
+    for (const std::string &team : change.removed_teams()) {
+        forgetKeys(team);
+    }
+    applyChange(m_config, change);
+    adoptTeams(change);
+    for (const wire::host_place &host : change.hosts()) {
+        adoptHost(*m_config.findHost(host.name()));
+    }
+    for (const std::string &name : change.removed_hosts()) {
+        const auto found = m_hosts.find(name);
+        if (found != m_hosts.end()) {
+            found->second.removed = true;
+            limitSlots(name);
+            settleHost(name);
+        }
+    }
+    if (change.removed_pools_size() > 0) {
+        // Hosts that an operator had moved into a removed pool go where the text puts them.
+        for (const host_spec &host : m_config.hosts) {
+            if (m_config.findPool(m_hosts.at(host.name).pool) == nullptr) {
+                m_hosts.at(host.name).wantedPool = host.pool;
+            }
+        }
+    }
+    const int others = change.services_size() + change.pools_size() + change.hosts_size() + change.removed_services_size()
+        + change.removed_pools_size() + change.removed_hosts_size();
+    if (others > 0) {
+        indexPools();
+    }
 }
 
-void fleet_state::adoptTeams(const configuration &next)
+void fleet_state::forgetKeys(const std::string &team)
 {
-    for (const team_spec &team : m_config->teams) {
-        if (next.findTeam(team.name) == nullptr) {
-            m_ledger.setLimit(teamResource(team.name), 0);
-            m_ledger.erase(teamResource(team.name));
-        }
-    }
-    m_configKeys.clear();
-    for (const team_spec &team : next.teams) {
-        m_ledger.setLimit(teamResource(team.name), team.limit);
-        for (const std::string &hash : team.keyHashes) {
-            m_configKeys[hash] = team.name;
+    const team_spec *spec = m_config.findTeam(team);
+    if (spec != nullptr) {
+        for (const std::string &hash : spec->keyHashes) {
+            m_configKeys.erase(hash);
         }
     }
 }
 
-void fleet_state::adoptHosts(const configuration &next)
-{
-    std::map<std::string, std::string> before;
-    for (const host_spec &host : m_config->hosts) {
-        before[host.name] = host.pool;
-    }
-    m_config = std::make_shared<const configuration>(next);
-    std::set<std::string> named;
-    for (const host_spec &host : m_config->hosts) {
-        named.insert(host.name);
-        const auto [position, fresh] = m_hosts.try_emplace(host.name);
-        host_status &status = position->second;
-        status.removed = false;
-        const auto earlier = before.find(host.name);
-        const bool reassigned = earlier != before.end() && earlier->second != host.pool;
-        const bool orphaned = m_config->findPool(status.pool) == nullptr;
-        const bool moved = !fresh && status.pool != host.pool && (reassigned || orphaned);
-        if (fresh) {
-            status.pool = host.pool;
-        } else if (moved && (status.state == host_state::active || status.state == host_state::draining)) {
-            status.moveToPool = host.pool;
-            status.state = host_state::draining;
+void fleet_state::adoptTeams(const wire::config_change &change)
+{
+    for (const wire::team_image &team : change.teams()) {
+        m_ledger.setLimit(teamResource(team.name()), team.limit());
+        for (const std::string &hash : team.key_hashes()) {
+            m_configKeys[hash] = team.name();
         }
-        limitSlots(host.name);
     }
-    std::vector<std::string> changed;
-    for (auto &[name, status] : m_hosts) {
-        status.removed = named.count(name) == 0;
-        changed.push_back(name);
+    for (const std::string &team : change.removed_teams()) {
+        m_ledger.setLimit(teamResource(team), 0);
+        m_ledger.erase(teamResource(team));
     }
-    for (const std::string &name : changed) {
-        if (m_hosts.at(name).removed) {
-            limitSlots(name);
-        }
-        settleHost(name);
+}
+
+void fleet_state::adoptHost(const host_spec &host)
+{
+    const auto [position, fresh] = m_hosts.try_emplace(host.name);
+    host_status &status = position->second;
+    status.removed = false;
+    if (fresh) {
+        status.pool = host.pool;
     }
+    // The move itself waits until the budgets allow it.
+    status.wantedPool = status.pool == host.pool ? std::string() : host.pool;
+    limitSlots(host.name);
 }
 
 // Derives the counts of each pool; a pool's budget is the strictest one of its services and of all that depend on them.
@@ -563,13 +617,13 @@
         counts.unavailable += isOut(status.state) || status.removed ? 1 : 0;
     }
     std::map<std::string, std::uint32_t> strictest;
-    for (const service_spec &service : m_config->services) {
+    for (const service_spec &service : m_config.services) {
         strictest[service.name] = service.maxUnavailablePercent;
     }
     // Each round passes a budget one dependency further; there are no cycles.
     for (bool changed = true; changed;) {
         changed = false;
-        for (const service_spec &service : m_config->services) {
+        for (const service_spec &service : m_config.services) {
             for (const std::string &dependency : service.dependsOn) {
                 if (strictest[service.name] < strictest[dependency]) {
                     strictest[dependency] = strictest[service.name];
@@ -578,7 +632,7 @@
             }
         }
     }
-    for (const service_spec &service : m_config->services) {
+    for (const service_spec &service : m_config.services) {
         pool_counts &counts = m_poolCounts[service.pool];
         counts.percent = std::min(counts.percent, strictest[service.name]);
     }
@@ -605,10 +659,10 @@
 {
     const auto change = m_keys.find(keyHash);
     if (change != m_keys.end()) {
-        return change->second.withdrawn() ? nullptr : m_config->findTeam(change->second.team());
+        return change->second.withdrawn() ? nullptr : m_config.findTeam(change->second.team());
     }
     const auto known = m_configKeys.find(keyHash);
-    return known != m_configKeys.end() && equalInConstantTime(known->first, keyHash) ? m_config->findTeam(known->second) : nullptr;
+    return known != m_configKeys.end() && equalInConstantTime(known->first, keyHash) ? m_config.findTeam(known->second) : nullptr;
 }
 
 bool fleet_state::isWithdrawn(const std::string &keyHash) const
--- a/packages/core/test/fleet_state_test.cpp
+++ b/packages/core/test/fleet_state_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the replay: records, races, snapshots and gaps.
 #include <fmt/format.h>
 #include <jujubespool/core/claim_registry.h>
+#include <jujubespool/core/edition.h>
 #include <jujubespool/core/hashing.h>
 #include <jujubespool/core/log_replay.h>
 #include <jujubespool/core/permit_planner.h>
@@ -121,14 +122,15 @@
     }
 
 private:
-    log_replay m_replay { *this };
+    log_replay m_replay{ *this };
     std::map<session_id, std::uint64_t> m_sequences;
     std::vector<std::string> m_bytes;
     wire::record m_last;
     apply_verdict m_verdict = apply_verdict::accepted;
 };
 
-struct wave_case {
+struct wave_case
+{
     const char *name;
     int hosts;
     int percent;
@@ -328,7 +330,8 @@
         hosts.push_back(name);
     }
     const wave_plan plan = planWave(log.state(), hosts, {});
-    cr_assert_eq(plan.rounds.size(), item.expectedRounds, "%s: expected %zu rounds, got %zu", item.name, item.expectedRounds, plan.rounds.size());
+    cr_assert_eq(plan.rounds.size(), item.expectedRounds, "%s: expected %zu rounds, got %zu", item.name, item.expectedRounds,
+                 plan.rounds.size());
     cr_assert_eq(plan.lowerBound, item.expectedRounds);
     for (const wave_round &round : plan.rounds) {
         cr_assert_leq(round.hosts.size(), log.state().allowedUnavailable("p"));
@@ -351,3 +354,58 @@
     }
     cr_assert_eq(targets, 7U, "expected the plans of all sessions to take 7, got %u", targets);
 }
+
+Test(edition, changesGiveTheSameStateAsTheWholeText)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    std::string text = textOf(12, 50, 4);
+    log.publish(1, 0, text);
+    log.take(1, workerResource("h3"), 2);
+    const std::string edits[] = {
+        textOf(12, 50, 9),
+        textOf(14, 50, 9),
+        textOf(11, 50, 9),
+        textOf(11, 40, 2) + "  - { name: another, share: 3, limit: 7 }\n",
+    };
+    for (const std::string &edited : edits) {
+        std::vector<config_problem> problems;
+        wire::record record;
+        *record.mutable_publish() = editionFor(log.state(), edited, problems).value();
+        cr_assert(record.publish().has_change() && record.publish().text().empty(), "expected a difference and not the text");
+        cr_assert_eq(log.write(1, record), apply_verdict::accepted);
+        cr_assert(log.state().editionText() == edited, "expected the patched text to equal the edited one");
+        failure reason;
+        const auto loaded = fleet_state::load(log.state().serialize(), reason);
+        cr_assert(loaded.has_value(), "%s", reason.reason.c_str());
+        cr_assert(loaded->serialize() == log.state().serialize(), "expected the loaded state to equal the replayed one");
+        cr_assert(loaded->config().hosts == log.state().config().hosts && loaded->config().teams == log.state().config().teams);
+        cr_assert_eq(loaded->allowedUnavailable("p"), log.state().allowedUnavailable("p"));
+    }
+}
+
+Test(edition, movesAndRemovesHostsOnlyWithinTheBudget)
+{
+    log_writer log;
+    log.open(1, "e1", 1);
+    log.publish(1, 0, textOf(10, 20, 4));
+    std::vector<config_problem> problems;
+    wire::record record;
+    *record.mutable_publish() = editionFor(log.state(), textOf(7, 30, 4), problems).value();
+    cr_assert_eq(log.write(1, record), apply_verdict::rejected, "expected three of ten hosts to be more than a fifth");
+    *record.mutable_publish() = editionFor(log.state(), textOf(8, 20, 4), problems).value();
+    cr_assert_eq(log.write(1, record), apply_verdict::accepted);
+    std::string moved = textOf(8, 20, 4);
+    const std::string spare = "  - { name: spare, spare: true }\n";
+    moved.replace(moved.find(spare), spare.size(),
+                  "  - name: spare\n    spare: true\n    hosts: [{ name: h0, data_center: a, rack: r0, address: \"127.0.0.1:1\" }]\n");
+    const std::size_t line = moved.find("      - { name: h0");
+    moved.erase(line, moved.find('\n', line) + 1 - line);
+    *record.mutable_publish() = editionFor(log.state(), moved, problems).value();
+    cr_assert_eq(log.write(1, record), apply_verdict::accepted);
+    cr_assert_str_eq(log.state().hosts().at("h0").pool.c_str(), "p", "expected the host to stay until it is drained");
+    cr_assert_str_eq(log.state().hosts().at("h0").wantedPool.c_str(), "spare");
+    cr_assert_eq(log.drain(1, "h0", "spare"), apply_verdict::accepted);
+    cr_assert_str_eq(log.state().hosts().at("h0").pool.c_str(), "spare");
+    cr_assert_str_empty(log.state().hosts().at("h0").wantedPool.c_str());
+}
--- a/packages/entry/src/admin_front.cpp
+++ b/packages/entry/src/admin_front.cpp
@@ -5,6 +5,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
+#include <jujubespool/core/edition.h>
 #include <jujubespool/entry/logger.h>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
@@ -320,7 +321,8 @@
 void admin_front::publish(const admin_request &request)
 {
     std::vector<config_problem> problems;
-    if (!parseConfiguration(request.body, problems)) {
+    const std::optional<wire::edition> edition = editionFor(m_node.session().state(), request.body, problems);
+    if (!edition) {
         json list = json::array();
         for (const config_problem &problem : problems) {
             list.push_back({ { "line", problem.line }, { "message", problem.message } });
@@ -334,8 +336,8 @@
         return;
     }
     wire::record record;
+    *record.mutable_publish() = *edition;
     record.mutable_publish()->set_base(std::stoull(base));
-    record.mutable_publish()->set_text(request.body);
     const log_session::settled answer = answerer(request.raw);
     const std::uint64_t token = m_lastAnswer;
     m_node.session().propose(std::move(record), [this, token, answer, text = request.body](const applied &result) {
--- a/packages/entry/src/maintenance_driver.cpp
+++ b/packages/entry/src/maintenance_driver.cpp
@@ -176,6 +176,11 @@
     for (const auto &[name, status] : m_session.state().hosts()) {
         if (!status.wave.empty()) {
             driveHost(name, status, now);
+        } else if (!status.wantedPool.empty() && status.state == host_state::active && !m_session.state().budgetObjection(name)) {
+            wire::record record;
+            record.mutable_drain()->set_host(name);
+            record.mutable_drain()->set_move_to_pool(status.wantedPool);
+            proposeOnce("drain/" + name, std::move(record));
         }
     }
 }
--- a/packages/entry/test/fake_fleet.cpp
+++ b/packages/entry/test/fake_fleet.cpp
@@ -1,6 +1,7 @@
 #include "fake_fleet.h"
 
 #include <fmt/format.h>
+#include <jujubespool/core/edition.h>
 #include <jujubespool/core/hashing.h>
 #include <jujubespool/entry/logger.h>
 
@@ -381,8 +382,8 @@
 {
     wire::record record;
     if (host(index).node) {
-        record.mutable_publish()->set_base(host(index).node->session().state().editionOffset());
-        record.mutable_publish()->set_text(text);
+        std::vector<config_problem> problems;
+        *record.mutable_publish() = editionFor(host(index).node->session().state(), text, problems).value();
         propose(index, std::move(record));
     }
 }
--- a/tools/measure/scale.cpp
+++ b/tools/measure/scale.cpp
@@ -67,7 +67,8 @@
     void publish(const std::string &text)
     {
         wire::record record;
-        *record.mutable_publish() = editionFor(m_replay.state(), text);
+        std::vector<config_problem> problems;
+        *record.mutable_publish() = editionFor(m_replay.state(), text, problems).value();
         write(1, record);
     }
 
@@ -190,8 +191,8 @@
 
 void measureCapacity(const options &options)
 {
-    for (const int divisor : options.quick ? std::vector<int> { 8, 2 } : std::vector<int> { 16, 8, 4, 2, 1 }) {
-        const fleet_size size { TWO_YEAR_SIZE.hosts / divisor, TWO_YEAR_SIZE.pools / divisor, TWO_YEAR_SIZE.teams / divisor, 13, 8 };
+    for (const int divisor : options.quick ? std::vector<int>{ 8, 2 } : std::vector<int>{ 16, 8, 4, 2, 1 }) {
+        const fleet_size size{ TWO_YEAR_SIZE.hosts / divisor, TWO_YEAR_SIZE.pools / divisor, TWO_YEAR_SIZE.teams / divisor, 13, 8 };
         const double memoryBefore = peakMemoryMiB();
         record_writer log;
         log.open(size);
