--- a/packages/core/include/jujubespool/core/failure_detector.h
+++ b/packages/core/include/jujubespool/core/failure_detector.h
@@ -26,14 +26,15 @@
 class fixed_timeout_detector : public failure_detector
 {
 public:
-    explicit fixed_timeout_detector(duration timeout);
+    // A peer that is never heard of is suspected after the timeout from the start.
+    fixed_timeout_detector(duration timeout, instant start);
     void onHeartbeat(std::uint64_t counter, instant now) override;
     bool suspects(instant now) const override;
 
 private:
     duration m_timeout;
     std::uint64_t m_newest = 0;
-    instant m_freshUntil = instant::max();
+    instant m_freshUntil;
 };
 
 // Chen's estimator: expects the next heartbeat after the mean of the last `window` arrivals, plus a margin.
--- a/packages/core/include/jujubespool/core/fleet_state.h
+++ b/packages/core/include/jujubespool/core/fleet_state.h
@@ -137,6 +137,8 @@
     }
 
     bool isLive(session_id session) const;
+    // Whether the session holds a range of idempotency keys.
+    bool holdsRanges(session_id session) const;
     // Sessions that have not ended, in the order of their ids.
     std::vector<session_id> liveSessions() const;
 
--- a/packages/core/src/failure_detector.cpp
+++ b/packages/core/src/failure_detector.cpp
@@ -2,8 +2,9 @@
 
 namespace jujubespool {
 
-fixed_timeout_detector::fixed_timeout_detector(duration timeout)
+fixed_timeout_detector::fixed_timeout_detector(duration timeout, instant start)
     : m_timeout(timeout)
+    , m_freshUntil(start + timeout)
 {
 }
 
--- a/packages/core/src/fleet_state.cpp
+++ b/packages/core/src/fleet_state.cpp
@@ -243,10 +243,13 @@
         return reject("session {:x} has not ended", reclaim.session());
     }
     for (std::uint32_t range = 0; range < CLAIM_RANGES; ++range) {
-        if (m_ledger.heldBy(rangeResource(range), reclaim.session()) > 0) {
+        if (m_ledger.give(rangeResource(range), reclaim.session(), NO_SESSION, 1)) {
             m_fences[range] = std::max(m_fences[range], reclaim.fenced_ms());
         }
     }
+    if (reclaim.ranges_only()) {
+        return accept();
+    }
     const std::vector<std::string> released = m_ledger.release(reclaim.session());
     m_sessions.erase(found);
     for (const std::string &resource : released) {
@@ -644,6 +647,16 @@
     return found != m_sessions.end() && !found->second.ended;
 }
 
+bool fleet_state::holdsRanges(session_id session) const
+{
+    for (std::uint32_t range = 0; range < CLAIM_RANGES; ++range) {
+        if (m_ledger.heldBy(rangeResource(range), session) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::vector<session_id> fleet_state::liveSessions() const
 {
     std::vector<session_id> live;
--- a/packages/entry/src/caller_front.cpp
+++ b/packages/entry/src/caller_front.cpp
@@ -100,6 +100,7 @@
             item.refuse(STATUS_BAD_REQUEST, "the length of the body is stated twice");
         } else if (lengths == 1 && !isDigits(length)) {
             item.refuse(STATUS_BAD_REQUEST, "Content-Length is not a number");
+            item.refuseNow();
         } else if (lengths == 1 && (length.size() > 15 || std::stoull(length) > item.front->m_settings.maxBodyBytes)) {
             item.refuse(STATUS_TOO_LARGE, "the body is too large");
         } else if (countHeader(headers, "Authorization") > 1 || countHeader(headers, "Idempotency-Key") > 1) {
@@ -134,9 +135,43 @@
         return EVHTP_RES_OK;
     }
 
+    // Answers at once, for requests whose end cannot be found.
+    static void answerUnreadable(evhtp_connection_t *connection)
+    {
+        const std::string body = "{\"type\":\"about:blank\",\"title\":\"the request cannot be parsed\",\"status\":400,\"step\":\"parse\","
+                                 "\"peer\":\"\",\"outcome\":\"not-run\"}";
+        const std::string answer = fmt::format("HTTP/1.1 400 Bad Request\r\nContent-Type: application/problem+json\r\nJujubespool-Outcome: "
+                                               "not-run\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}",
+                                               body.size(), body);
+        const evutil_socket_t descriptor = bufferevent_getfd(connection->bev);
+        const bool answering = connection->request != nullptr && (connection->request->flags & EVHTP_REQ_FLAG_FINISHED) != 0;
+        if (!answering && send(descriptor, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT) < 0) {
+            logEvent(log_level::debug, "answer-not-sent", { { "reason", "the caller has gone away" } });
+        }
+    }
+
+    // What the parser cannot read is answered before libevhtp closes the connection.
+    static evhtp_res onConnectionError(evhtp_connection_t *connection, evhtp_error_flags, void *)
+    {
+        answerUnreadable(connection);
+        return EVHTP_RES_OK;
+    }
+
+    // The end of a request with a doubtful length may never come, so it is not waited for.
+    void refuseNow()
+    {
+        front->m_loop.after(milliseconds(0), [owner = front, raw = request] {
+            if (owner->m_exchanges.count(raw) > 0) {
+                answerUnreadable(raw->conn);
+                shutdown(bufferevent_getfd(raw->conn->bev), SHUT_RDWR);
+            }
+        });
+    }
+
     static evhtp_res onAccept(evhtp_connection_t *connection, void *argument)
     {
         evhtp_connection_set_hook(connection, evhtp_hook_on_headers, toHook(onHeaders), argument);
+        evhtp_connection_set_hook(connection, evhtp_hook_on_conn_error, toHook(onConnectionError), argument);
         evhtp_connection_set_hook(connection, evhtp_hook_on_read, toHook(onRead), argument);
         return EVHTP_RES_OK;
     }
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -10,6 +10,8 @@
 constexpr milliseconds TICK{ 10 };
 constexpr milliseconds PLAN_INTERVAL{ 50 };
 constexpr milliseconds KEY_REPEAT_INTERVAL{ 500 };
+// Nine hosts that log claims this often stay below the several hundred appends a second that the log takes.
+constexpr milliseconds CLAIM_LOG_INTERVAL{ 50 };
 // A tick that comes this late means that the process was paused or its clock jumped.
 constexpr milliseconds PAUSE_THRESHOLD{ 500 };
 // After a pause nothing starts until the log was read again, or for this time when it is away.
@@ -47,6 +49,7 @@
     m_loans.onArrival([this] { m_router.pump(); });
     m_clock.repeat(TICK, [this] { tick(); });
     m_clock.repeat(HEARTBEAT_INTERVAL, [this] { m_work.adjustWeights(HEARTBEAT_INTERVAL); });
+    m_clock.repeat(CLAIM_LOG_INTERVAL, [this] { m_claims.logClaims(); });
     m_clock.repeat(KEY_REPEAT_INTERVAL, [this] { m_keys.repeat(m_clock.now()); });
 }
 
@@ -60,7 +63,6 @@
     const instant now = m_clock.now();
     noticePause(now);
     m_claims.check(now);
-    m_claims.logClaims();
     m_loans.settle(now);
     m_router.check(now);
     planPermitsAgain(now);
--- a/packages/entry/src/maintenance_driver.cpp
+++ b/packages/entry/src/maintenance_driver.cpp
@@ -86,11 +86,13 @@
 {
     const duration fence = m_session.state().config().longestRun() + LOAN_DURATION + LOAN_MARGIN;
     for (const auto &[id, since] : m_endedSince) {
-        if (now - since < fence) {
+        const bool rangesOnly = now - since < fence;
+        if (rangesOnly && !m_session.state().holdsRanges(id)) {
             continue;
         }
         wire::record record;
         record.mutable_reclaim()->set_session(id);
+        record.mutable_reclaim()->set_ranges_only(rangesOnly);
         record.mutable_reclaim()->set_fenced_ms(m_clock.wallNow() + 2 * static_cast<wall_ms>(MAX_CLOCK_SKEW.count()));
         proposeOnce("reclaim/" + std::to_string(id), std::move(record));
     }
--- a/packages/entry/src/peer_group.cpp
+++ b/packages/entry/src/peer_group.cpp
@@ -69,7 +69,7 @@
     if (fresh) {
         position->second.host = host;
         position->second.dataCenter = dataCenter;
-        position->second.detector = std::make_unique<fixed_timeout_detector>(SUSPECT_AFTER);
+        position->second.detector = std::make_unique<fixed_timeout_detector>(SUSPECT_AFTER, m_clock.now());
         m_transport.connect(id, endpoint);
         logEvent(log_level::info, "peer-known", { { "host", host }, { "data_center", dataCenter }, { "endpoint", endpoint } });
     }
--- /dev/null
+++ b/packages/platform/test/platform_test.cpp
@@ -0,0 +1,51 @@
+#include <jujubespool/platform/base64.h>
+#include <jujubespool/platform/http_client.h>
+#include <jujubespool/testing/table.h>
+
+namespace {
+
+using namespace jujubespool;
+
+struct address_case
+{
+    const char *text;
+    bool valid;
+    std::uint16_t port;
+};
+
+const address_case ADDRESSES[] = {
+    { "127.0.0.1:80", true, 80 }, { "127.0.0.1:0", true, 0 },      { "127.0.0.1", false, 0 }, { ":80", false, 0 },
+    { "127.0.0.1:x", false, 0 },  { "127.0.0.1:70000", false, 0 }, { "", false, 0 },
+};
+
+const char *const TEXTS[] = { "", "a", "ab", "abc", "abcd" };
+
+} // namespace
+
+ParameterizedTestParameters(parseAddress, splitsHostAndPort)
+{
+    return rowsOf(ADDRESSES);
+}
+
+ParameterizedTest(std::size_t *row, parseAddress, splitsHostAndPort)
+{
+    const address_case &item = ADDRESSES[*row];
+    const auto address = parseAddress(item.text);
+    cr_assert_eq(address.has_value(), item.valid, "expected '%s' to be %s", item.text, item.valid ? "valid" : "invalid");
+    if (item.valid) {
+        cr_assert_eq(address->port, item.port);
+    }
+}
+
+ParameterizedTestParameters(base64, decodesWhatItEncoded)
+{
+    return rowsOf(TEXTS);
+}
+
+ParameterizedTest(std::size_t *row, base64, decodesWhatItEncoded)
+{
+    const std::string text = TEXTS[*row];
+    const auto decoded = decodeBase64(encodeBase64(text));
+    cr_assert(decoded.has_value() && *decoded == text, "expected '%s' again", text.c_str());
+    cr_assert_not(decodeBase64("a").has_value(), "expected a text of one digit to be refused");
+}
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -157,7 +157,7 @@
             --m_open;
             m_latencies.push_back(std::chrono::duration<double, std::micro>(steady::now() - begin).count());
             note(result, team, tag);
-            if (goesOn || (m_left == 0 && m_open == 0)) {
+            if (goesOn || m_left == 0 || steady::now() > m_end) {
                 next();
             }
         });
--- a/tools/measure/detectors.cpp
+++ b/tools/measure/detectors.cpp
@@ -12,19 +12,19 @@
 
 using namespace jujubespool;
 
-constexpr milliseconds INTERVAL { 100 };
+constexpr milliseconds INTERVAL{ 100 };
 constexpr int HEARTBEATS = 20000;
-constexpr milliseconds STEP { 5 };
+constexpr milliseconds STEP{ 5 };
 
-struct heartbeat_arrival {
+struct heartbeat_arrival
+{
     std::uint64_t counter = 0;
     instant at;
 };
 
 enum class trace_kind { quiet, bursty, paused };
 
-template <typename T>
-using named = std::pair<const char *, T>;
+template <typename T> using named = std::pair<const char *, T>;
 
 // Heartbeats with small delays; bursty adds spells of loss and long delays, paused stops the sender now and then.
 std::vector<heartbeat_arrival> makeTrace(trace_kind kind, std::mt19937_64 &random)
@@ -32,7 +32,7 @@
     std::vector<heartbeat_arrival> trace;
     std::lognormal_distribution<double> delay(0.0, 0.5);
     std::uniform_real_distribution<double> chance(0, 1);
-    duration offset { 0 };
+    duration offset{ 0 };
     int spell = 0;
     instant last;
     for (int i = 1; i <= HEARTBEATS; ++i) {
@@ -57,7 +57,8 @@
     return trace;
 }
 
-struct verdict {
+struct verdict
+{
     int mistakes = 0;
     double mistakenMs = 0;
     double detectionMs = 0;
@@ -94,13 +95,14 @@
 
 void measureDetectors(const options &options)
 {
-    const named<trace_kind> kinds[] = { { "quiet", trace_kind::quiet }, { "bursty", trace_kind::bursty }, { "paused", trace_kind::paused } };
+    const named<trace_kind> kinds[]
+        = { { "quiet", trace_kind::quiet }, { "bursty", trace_kind::bursty }, { "paused", trace_kind::paused } };
     for (const auto &[traceName, kind] : kinds) {
         std::mt19937_64 random(options.seed);
         const std::vector<heartbeat_arrival> trace = makeTrace(kind, random);
         for (const int marginMs : { 150, 400 }) {
             std::vector<named<std::unique_ptr<failure_detector>>> detectors;
-            detectors.emplace_back("fixed", std::make_unique<fixed_timeout_detector>(INTERVAL + milliseconds(marginMs)));
+            detectors.emplace_back("fixed", std::make_unique<fixed_timeout_detector>(INTERVAL + milliseconds(marginMs), trace.front().at));
             detectors.emplace_back("chen_n1", std::make_unique<chen_detector>(INTERVAL, 1, milliseconds(marginMs)));
             detectors.emplace_back("two_window", std::make_unique<two_window_detector>(INTERVAL, 1, 1000, milliseconds(marginMs)));
             for (const auto &[name, detector] : detectors) {
--- a/tools/measure/scale.cpp
+++ b/tools/measure/scale.cpp
@@ -1,6 +1,7 @@
 // Replay of a day's records, planning and the control cost at several sizes.
 #include "measure.h"
 
+#include <jujubespool/core/config_change.h>
 #include <jujubespool/core/dispatcher.h>
 #include <jujubespool/core/edition.h>
 #include <jujubespool/core/log_replay.h>
@@ -72,6 +73,25 @@
         write(1, record);
     }
 
+    // Writes the edition that changes one team's limit, as editionFor() would without parsing the text.
+    void changeLimit(std::size_t line, const std::string &team, int limit)
+    {
+        wire::record record;
+        wire::edition &edition = *record.mutable_publish();
+        edition.set_base(state().editionOffset());
+        edition.mutable_patch()->set_first(static_cast<std::uint32_t>(line));
+        edition.mutable_patch()->set_removed(1);
+        edition.mutable_patch()->add_added(fmt::format("  - {{ name: {}, share: 1, limit: {} }}", team, limit));
+        configuration changed;
+        changed.dataCenters = state().config().dataCenters;
+        *edition.mutable_change() = changeBetween(configuration(), changed);
+        wire::team_image &image = *edition.mutable_change()->add_teams();
+        image.set_name(team);
+        image.set_share(1);
+        image.set_limit(static_cast<std::uint32_t>(limit));
+        write(1, record);
+    }
+
     void settlePermits()
     {
         for (int round = 0; round < 2; ++round) {
@@ -132,14 +152,9 @@
 // One day: editions that each change one team's limit, failures and recoveries, and one day's part of the wave.
 void writeDay(record_writer &log, const fleet_size &size, int editions)
 {
-    std::string text = fleetText(size);
+    const std::size_t firstTeam = log.state().editionLines().size() - 1 - static_cast<std::size_t>(size.teams);
     for (int i = 0; i < editions; ++i) {
-        const std::string team = fmt::format("name: t{},", i % size.teams);
-        const std::size_t limit = text.find("limit: ", text.find(team)) + 7;
-        const std::size_t end = text.find(' ', limit);
-        const std::string value = fmt::format("{}", 10 + i % 50);
-        text.replace(limit, end - limit, value);
-        log.publish(text);
+        log.changeLimit(firstTeam + static_cast<std::size_t>(i % size.teams), fmt::format("t{}", i % size.teams), 10 + i % 50);
         if (i % (editions / HOST_EVENTS_A_DAY + 1) == 0) {
             const std::string host = fmt::format("h{:05}", i % size.hosts);
             log.step(host, wire::MAINTENANCE_STEP_FAILED);
