--- a/packages/core/include/jujubespool/core/dispatcher.h
+++ b/packages/core/include/jujubespool/core/dispatcher.h
@@ -158,7 +158,8 @@
 
 private:
     // What a team's dispatches on one pool tell about the wait of the next request.
-    struct dispatch_pace {
+    struct dispatch_pace
+    {
         instant last;
         run_estimate interval;
     };
--- a/packages/core/include/jujubespool/core/fair_queue.h
+++ b/packages/core/include/jujubespool/core/fair_queue.h
@@ -31,7 +31,7 @@
 
 constexpr int URGENT_BURST = 8;
 // Time over which a team that is behind catches up, and the most that its weight changes by.
-constexpr milliseconds CATCH_UP_TIME { 500 };
+constexpr milliseconds CATCH_UP_TIME{ 500 };
 constexpr double MAX_BOOST = 8;
 
 struct queued_request
--- a/packages/core/src/dispatcher.cpp
+++ b/packages/core/src/dispatcher.cpp
@@ -342,7 +342,10 @@
             }
         }
         if (startable > 0 && freeWorkers(lane, state, now).empty()) {
-            wanted.push_back({ {}, pool, std::min(startable, MAX_WANTED), lane.queue.headVirtualTime().value_or(0),
+            wanted.push_back({ {},
+                               pool,
+                               std::min(startable, MAX_WANTED),
+                               lane.queue.headVirtualTime().value_or(0),
                                shareOf(lane.queue.headTeam(), state) });
         }
     }
--- a/packages/core/test/decisions_test.cpp
+++ b/packages/core/test/decisions_test.cpp
@@ -15,7 +15,8 @@
 
 const instant START = instant(seconds(1000));
 
-struct key_case {
+struct key_case
+{
     const char *key;
     bool valid;
     wall_ms issued;
@@ -33,7 +34,8 @@
     { "171800000000x-abc", false, 0 },
 };
 
-struct share_case {
+struct share_case
+{
     int teams;
     std::uint32_t shares[3];
     double expected[3];
@@ -45,7 +47,8 @@
     { 2, { 9, 1, 0 }, { 0.9, 0.1, 0 } },
 };
 
-struct blame_case {
+struct blame_case
+{
     const char *name;
     // Requests of one source that fail on each of the workers in turn.
     int workers;
@@ -72,7 +75,8 @@
     const auto issued = issueTimeOf(item.key);
     cr_assert_eq(issued.has_value(), item.valid, "expected '%s' to be %s", item.key, item.valid ? "valid" : "invalid");
     if (item.valid) {
-        cr_assert_eq(*issued, item.issued, "expected %zu, got %zu", static_cast<std::size_t>(item.issued), static_cast<std::size_t>(*issued));
+        cr_assert_eq(*issued, item.issued, "expected %zu, got %zu", static_cast<std::size_t>(item.issued),
+                     static_cast<std::size_t>(*issued));
     }
 }
 
@@ -98,14 +102,17 @@
         served[std::stoi(next->team)] += 1.0 / ROUNDS;
     }
     for (int team = 0; team < item.teams; ++team) {
-        cr_assert_float_eq(served[team], item.expected[team], 0.02, "team %d: expected %f, got %f", team, item.expected[team], served[team]);
+        cr_assert_float_eq(served[team], item.expected[team], 0.02, "team %d: expected %f, got %f", team, item.expected[team],
+                           served[team]);
     }
 }
 
 Test(fairQueue, anIdleTeamSavesNothingUp)
 {
     fair_queue queue;
-    const auto all = [](const std::string &) { return true; };
+    const auto all = [](const std::string &) {
+        return true;
+    };
     for (request_id id = 1; id <= 200; ++id) {
         queue.push({ id, "busy", request_class::normal }, 1);
     }
@@ -125,7 +132,9 @@
 Test(fairQueue, urgentGoesFirstWithoutStarvingTheRest)
 {
     fair_queue queue;
-    const auto all = [](const std::string &) { return true; };
+    const auto all = [](const std::string &) {
+        return true;
+    };
     for (request_id id = 1; id <= 100; ++id) {
         queue.push({ id, "a", request_class::urgent }, 1);
         queue.push({ 1000 + id, "b", request_class::normal }, 1);
@@ -172,7 +181,7 @@
 Test(workerSelector, aWorkerThatFailsEverythingIsFoundWithinTenRequests)
 {
     worker_selector selector(7);
-    const std::vector<std::string> workers { "good-1", "good-2", "good-3", "bad" };
+    const std::vector<std::string> workers{ "good-1", "good-2", "good-3", "bad" };
     selector.setWorkers(workers);
     int failures = 0;
     for (int i = 0; i < 400; ++i) {
--- a/packages/entry/include/jujubespool/entry/caller_front.h
+++ b/packages/entry/include/jujubespool/entry/caller_front.h
@@ -30,6 +30,16 @@
     bool healthy(instant now) const override;
     void stop() override;
 
+    // Every answer from now on ends its connection, so that callers turn to other entry hosts.
+    void closeConnections()
+    {
+        m_closing = true;
+    }
+    // Refuses new connections; those that were accepted are served to their end.
+    void stopAccepting();
+    // Whether no request is open and none has come for a while.
+    bool isQuiet(instant now) const;
+
     const std::string &address() const
     {
         return m_address;
@@ -49,6 +59,9 @@
     metrics &m_figures;
     const entry_settings &m_settings;
     evhtp *m_server = nullptr;
+    bool m_accepting = false;
+    bool m_closing = false;
+    instant m_lastRequest;
     std::string m_address;
     std::map<evhtp_request *, std::unique_ptr<exchange>> m_exchanges;
 };
--- a/packages/entry/include/jujubespool/entry/entry_node.h
+++ b/packages/entry/include/jujubespool/entry/entry_node.h
@@ -27,6 +27,16 @@
 
     // What the balancer asks.
     bool ready() const;
+    // Whether a graceful stop has begun.
+    bool stopping() const
+    {
+        return m_stopping;
+    }
+    // Whether new requests are refused already.
+    bool refusing() const
+    {
+        return m_refusing;
+    }
     node_end end() const
     {
         return m_end;
@@ -114,6 +124,7 @@
     instant m_logHeardWhileStopping;
     node_end m_end = node_end::running;
     bool m_stopping = false;
+    bool m_refusing = false;
     bool m_endProposed = false;
     bool m_sessionEnded = false;
     bool m_sessionLost = false;
--- a/packages/entry/src/caller_front.cpp
+++ b/packages/entry/src/caller_front.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr int BACKLOG = 1024;
+// A stopping host serves the connections that it has accepted until none has sent a request for this long.
+constexpr milliseconds QUIET_TIME{ 300 };
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_BAD_REQUEST = 400;
 constexpr int STATUS_NOT_FOUND = 404;
@@ -209,6 +211,7 @@
         m_server = nullptr;
         return false;
     }
+    m_accepting = true;
     sockaddr_in bound{};
     socklen_t size = sizeof bound;
     getsockname(evconnlistener_get_fd(m_server->server), reinterpret_cast<sockaddr *>(&bound), &size);
@@ -221,10 +224,23 @@
     return m_server != nullptr;
 }
 
+void caller_front::stopAccepting()
+{
+    if (m_accepting) {
+        m_accepting = false;
+        evhtp_unbind_socket(m_server);
+    }
+}
+
+bool caller_front::isQuiet(instant now) const
+{
+    return m_exchanges.empty() && now - m_lastRequest > QUIET_TIME;
+}
+
 void caller_front::stop()
 {
     if (m_server != nullptr) {
-        evhtp_unbind_socket(m_server);
+        stopAccepting();
         evhtp_free(m_server);
         m_server = nullptr;
     }
@@ -276,6 +292,7 @@
 
 void caller_front::onComplete(exchange &item)
 {
+    m_lastRequest = m_loop.now();
     evhtp_request_t *request = item.request;
     const std::string path = request->uri != nullptr && request->uri->path != nullptr ? request->uri->path->full : "";
     if (item.refusedStatus == 0 && request->method == htp_method_POST && path == KEY_PATH) {
@@ -325,7 +342,7 @@
         add(header.name, header.value);
     }
     add("Jujubespool-Outcome", std::string(nameOf(answer.outcome)));
-    if (item.refusedStatus != 0) {
+    if (item.refusedStatus != 0 || m_closing) {
         // What follows on the connection cannot be trusted to be a request.
         add("Connection", "close");
         request->flags &= static_cast<std::uint16_t>(~EVHTP_REQ_FLAG_KEEPALIVE);
--- a/packages/entry/src/entry_host.cpp
+++ b/packages/entry/src/entry_host.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr milliseconds SUPERVISION_INTERVAL{ 200 };
+constexpr milliseconds SUPERVISION_INTERVAL{ 50 };
 
 } // namespace
 
@@ -56,7 +56,13 @@
 void entry_host::supervise()
 {
     m_root.check(m_loop.now());
-    if (m_node.end() != node_end::running) {
+    if (m_node.stopping()) {
+        m_callers.closeConnections();
+    }
+    if (m_node.refusing()) {
+        m_callers.stopAccepting();
+    }
+    if (m_node.end() != node_end::running && m_callers.isQuiet(m_loop.now())) {
         m_root.stop();
         m_loop.stop();
     }
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -184,6 +184,7 @@
 void entry_node::continueStop(instant now)
 {
     if (now - m_stopBegan > UNREADY_LEAD) {
+        m_refusing = true;
         m_router.setStopping();
     }
     const bool timedOut = now - m_stopBegan > m_settings.stopTimeout;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -36,13 +36,15 @@
 start_process() {
     local name=$1
     shift
+    # A log of an earlier process of this name must not be read as this one's.
+    rm -f "$fleet_dir/$name.log"
     "$@" >"$fleet_dir/$name.log" 2>&1 &
     pid_of[$name]=$!
     fleet_pids+=("$!")
 }
 
 field() { grep -o "$2=[^ ]*" "$fleet_dir/$1.log" | head -1 | cut -d= -f2; }
-listening() { grep -q "listening" "$fleet_dir/$1.log"; }
+listening() { [ -e "$fleet_dir/$1.log" ] && grep -q "listening" "$fleet_dir/$1.log"; }
 
 start_platform() {
     start_process platform "$bin/standin_platform" "$@"
@@ -87,7 +89,7 @@
     curl -s "http://${admin_of[$1]}/status" | python3 -c '
 import json, sys
 teams = json.load(sys.stdin)["teams"]
-sys.exit(0 if teams and sum(team["held"] for team in teams) > 0 else 1)'
+sys.exit(0 if teams and sum(team["held"] for team in teams) > 0 else 1)' 2>"$fleet_dir/settled"
 }
 platform_faults() { curl -s -o "$fleet_dir/faults" -X POST "http://$platform/faults" -d "$1"; }
 upstream_faults() { curl -s -o "$fleet_dir/faults" -X POST "http://$upstream/faults" -d "$1"; }
--- a/tools/measure/acting_together.cpp
+++ b/tools/measure/acting_together.cpp
@@ -11,9 +11,10 @@
 
 using namespace jujubespool;
 
-constexpr milliseconds SLICE { 50 };
+constexpr milliseconds SLICE{ 50 };
 
-struct team_case {
+struct team_case
+{
     const char *name;
     int share;
     int limit;
@@ -33,7 +34,8 @@
     text += "services:\n";
     for (const std::string pool : { "p", "q", "r", "u" }) {
         const std::string name = pool == "p" ? "post" : (pool == "q" ? "check" : "service-" + pool);
-        text += fmt::format("  - {{ name: {}, pool: {}, max_unavailable_percent: 20, max_run_ms: 400, repeatable: {} }}\n", name, pool, pool == "q");
+        text += fmt::format("  - {{ name: {}, pool: {}, max_unavailable_percent: 20, max_run_ms: 400, repeatable: {} }}\n", name, pool,
+                            pool == "q");
     }
     text += "teams:\n";
     for (const team_case &team : teams) {
@@ -44,10 +46,9 @@
 }
 
 // Calls the function at each slice of the time.
-template <typename Call>
-void everySlice(fake_fleet &fleet, milliseconds time, Call call)
+template <typename Call> void everySlice(fake_fleet &fleet, milliseconds time, Call call)
 {
-    for (milliseconds done { 0 }; done < time; done += SLICE) {
+    for (milliseconds done{ 0 }; done < time; done += SLICE) {
         call();
         fleet.run(SLICE);
     }
@@ -58,7 +59,7 @@
 {
     double sum = 0;
     double samples = 0;
-    milliseconds passed { 0 };
+    milliseconds passed{ 0 };
     everySlice(fleet, seconds(3), [&] {
         for (const int host : hosts) {
             for (int i = 0; i < limit; ++i) {
@@ -145,7 +146,8 @@
 
 namespace {
 
-struct share_error {
+struct share_error
+{
     double over1s = 0;
     double over10s = 0;
 };
@@ -184,8 +186,9 @@
 // Six teams ask five times what the pool holds; each entry host sees another part of the demand.
 void measureShare(const options &options)
 {
-    const std::vector<team_case> teams { { "t1", 40, 200 }, { "t2", 30, 200 }, { "t3", 20, 200 }, { "t4", 6, 200 }, { "t5", 6, 200 }, { "t6", 4, 200 } };
-    const std::map<std::string, int> runMs { { "t1", 20 }, { "t2", 40 }, { "t3", 80 }, { "t4", 20 }, { "t5", 60 }, { "t6", 30 } };
+    const std::vector<team_case> teams{ { "t1", 40, 200 }, { "t2", 30, 200 }, { "t3", 20, 200 },
+                                        { "t4", 6, 200 },  { "t5", 6, 200 },  { "t6", 4, 200 } };
+    const std::map<std::string, int> runMs{ { "t1", 20 }, { "t2", 40 }, { "t3", 80 }, { "t4", 20 }, { "t5", 60 }, { "t6", 30 } };
     double shares = 0;
     for (const team_case &team : teams) {
         shares += team.share;
@@ -223,7 +226,8 @@
             for (int i = 0; i < requests; ++i) {
                 // Half of a team's requests arrive at the host that its callers are next to.
                 const int host = fleet.random(2) == 0 ? number : static_cast<int>(fleet.random(9));
-                fleet.request(host, "post", std::string("key-") + team.name, fleet.freshTag(false), runMs.at(team.name), {}, milliseconds(3000));
+                fleet.request(host, "post", std::string("key-") + team.name, fleet.freshTag(false), runMs.at(team.name), {},
+                              milliseconds(3000));
             }
             demanded[team.name] += requests * runMs.at(team.name);
             demand += requests * runMs.at(team.name);
@@ -291,8 +295,8 @@
     }
     const log_offset before = fleet.records();
     fleet.propose(1, std::move(record));
-    milliseconds taken { 0 };
-    constexpr milliseconds STEP { 50 };
+    milliseconds taken{ 0 };
+    constexpr milliseconds STEP{ 50 };
     while (taken < seconds(900)) {
         for (int i = 0; i < 10; ++i) {
             fleet.request(static_cast<int>(fleet.random(9)), "post", "key-large", fleet.freshTag(false), 100, {});
--- a/tools/measure/main.cpp
+++ b/tools/measure/main.cpp
@@ -23,8 +23,8 @@
         for (; host < end; ++host) {
             const int center = host % size.dataCenters;
             const int rack = host / size.dataCenters / 20;
-            text += fmt::format("      - {{ name: h{:05}, data_center: dc{}, rack: r{}, address: \"10.0.{}.{}:80\", slots: {} }}\n", host, center,
-                                rack, host / 250, host % 250, size.slots);
+            text += fmt::format("      - {{ name: h{:05}, data_center: dc{}, rack: r{}, address: \"10.0.{}.{}:80\", slots: {} }}\n", host,
+                                center, rack, host / 250, host % 250, size.slots);
         }
     }
     text += "services:\n";
@@ -40,14 +40,14 @@
 
 double processorSeconds()
 {
-    timespec time {};
+    timespec time{};
     clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
     return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
 }
 
 double peakMemoryMiB()
 {
-    rusage usage {};
+    rusage usage{};
     getrusage(RUSAGE_SELF, &usage);
     return static_cast<double>(usage.ru_maxrss) / 1024;
 }
@@ -73,11 +73,11 @@
 {
     using namespace measure;
     auto arguments = docopt::docopt(USAGE, { argv + 1, argv + argc });
-    const options chosen { static_cast<std::uint64_t>(arguments["--seed"].asLong()), arguments["--quick"].asBool() };
-    const std::map<std::string, void (*)(const options &)> known { { "permits", measurePermits },     { "once", measureOnce },
-                                                                   { "share", measureShare },         { "retry", measureRetry },
-                                                                   { "waves", measureWaves },                                                                            { "replay", measureReplay },       { "detectors", measureDetectors },
-                                                                   { "capacity", measureCapacity } };
+    const options chosen{ static_cast<std::uint64_t>(arguments["--seed"].asLong()), arguments["--quick"].asBool() };
+    const std::map<std::string, void (*)(const options &)> known{ { "permits", measurePermits },     { "once", measureOnce },
+                                                                  { "share", measureShare },         { "retry", measureRetry },
+                                                                  { "waves", measureWaves },         { "replay", measureReplay },
+                                                                  { "detectors", measureDetectors }, { "capacity", measureCapacity } };
     std::string list = "permits,once,share,retry,waves,replay,detectors,capacity";
     if (arguments["--only"]) {
         list = arguments["--only"].asString();
--- a/tools/measure/measure.h
+++ b/tools/measure/measure.h
@@ -8,7 +8,8 @@
 
 namespace measure {
 
-struct options {
+struct options
+{
     std::uint64_t seed = 1;
     // Shorter runs with fewer seeds.
     bool quick = false;
@@ -25,7 +26,8 @@
 void measureCapacity(const options &options);
 
 // Text of a fleet of the given size. Hosts are spread over pools, data centres and racks of 20.
-struct fleet_size {
+struct fleet_size
+{
     int hosts = 0;
     int pools = 0;
     int teams = 0;
@@ -35,7 +37,7 @@
 std::string fleetText(const fleet_size &size);
 
 // The fleet that the design is for.
-constexpr fleet_size TWO_YEAR_SIZE { 7400, 147, 460, 13, 8 };
+constexpr fleet_size TWO_YEAR_SIZE{ 7400, 147, 460, 13, 8 };
 
 // Processor time of this thread, in seconds.
 double processorSeconds();
