--- a/packages/entry/include/jujubespool/entry/logger.h
+++ b/packages/entry/include/jujubespool/entry/logger.h
@@ -1,4 +1,4 @@
-// Structured logs: one line of key=value pairs on standard error for each event.
+// Structured logs: one line of key=value pairs on standard output for each event.
 //
 //     logEvent(log_level::info, "listening", { { "address", address } });
 //
@@ -9,6 +9,7 @@
 #include <jujubespool/core/failure.h>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jujubespool {
 
@@ -29,6 +30,13 @@
 void setLogLevel(log_level level);
 
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+void logEvent(log_level level, std::string_view event, const std::vector<log_field> &fields);
+
+// From now on lines are collected up to a bound, beyond which they are dropped, until flushLog() hands them over.
+void bufferLog();
+
+// Writes collected lines as far as that does not block.
+void flushLog();
 
 // Logs a failure with its step, peer and reason.
 void logFailure(log_level level, std::string_view event, const failure &reason);
--- a/packages/entry/include/jujubespool/entry/metrics.h
+++ b/packages/entry/include/jujubespool/entry/metrics.h
@@ -28,6 +28,8 @@
     void gauge(const std::string &name, double value);
     // Adds a caller's latency to the histogram of the team and class.
     void observe(const std::string &team, request_class priority, duration latency);
+    // Adds a duration to the histogram of the named event and team.
+    void observe(const std::string &event, const std::string &team, duration time);
 
     std::string text() const;
 
@@ -54,14 +56,15 @@
     };
     struct histogram_key
     {
-        std::string team;
-        request_class priority = request_class::normal;
+        std::string name;
+        std::string labels;
 
         bool operator<(const histogram_key &other) const
         {
-            return std::tie(team, priority) < std::tie(other.team, other.priority);
+            return std::tie(name, labels) < std::tie(other.name, other.labels);
         }
     };
+    void add(const histogram_key &key, duration time);
 
     std::map<counter_key, std::uint64_t> m_counters;
     std::map<std::string, double> m_gauges;
--- a/packages/entry/src/event_loop.cpp
+++ b/packages/entry/src/event_loop.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/entry/event_loop.h>
 
 #include <chrono>
+#include <ctime>
 #include <random>
 
 namespace jujubespool {
@@ -32,7 +33,10 @@
 
 instant event_loop::now() const
 {
-    return instant(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    // Counts the time of a suspension too: leases run on meanwhile.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return instant(duration_cast<duration>(seconds(time.tv_sec)) + duration_cast<duration>(std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 wall_ms event_loop::wallNow() const
--- a/packages/entry/src/logger.cpp
+++ b/packages/entry/src/logger.cpp
@@ -5,12 +5,23 @@
 #include <cstdio>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
 
 namespace jujubespool {
 
 namespace {
 
+// Lines that wait for the reader of standard output, at most.
+constexpr std::size_t MAX_BUFFERED_BYTES = 262144;
+// A pipe takes this much at once without blocking when it is ready.
+constexpr std::size_t PIPE_BYTES = 4096;
+
 log_level threshold = log_level::info;
+bool buffering = false;
+std::string buffered;
+std::uint64_t droppedLines = 0;
 
 std::string quoted(const std::string &value)
 {
@@ -37,7 +48,36 @@
     threshold = level;
 }
 
+void bufferLog()
+{
+    buffering = true;
+}
+
+void flushLog()
+{
+    while (!buffered.empty()) {
+        pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+        if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+            return;
+        }
+        const ssize_t written = write(STDOUT_FILENO, buffered.data(), std::min(buffered.size(), PIPE_BYTES));
+        if (written <= 0) {
+            return;
+        }
+        buffered.erase(0, static_cast<std::size_t>(written));
+    }
+    if (droppedLines > 0) {
+        const std::uint64_t lines = std::exchange(droppedLines, 0);
+        logEvent(log_level::warning, "log-lines-dropped", { { "lines", std::to_string(lines) } });
+    }
+}
+
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    logEvent(level, event, std::vector<log_field>(fields));
+}
+
+void logEvent(log_level level, std::string_view event, const std::vector<log_field> &fields)
 {
     if (level < threshold) {
         return;
@@ -49,7 +89,15 @@
     for (const log_field &field : fields) {
         line += fmt::format(" {}={}", field.key, quoted(field.value));
     }
-    fmt::print(stderr, "{}\n", line);
+    line += '\n';
+    if (!buffering) {
+        fmt::print("{}", line);
+        std::fflush(stdout);
+    } else if (buffered.size() + line.size() > MAX_BUFFERED_BYTES) {
+        ++droppedLines;
+    } else {
+        buffered += line;
+    }
 }
 
 void logFailure(log_level level, std::string_view event, const failure &reason)
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -1,7 +1,10 @@
 // jujubespoold: the entry host's process.
+#include <charconv>
 #include <csignal>
 #include <docopt/docopt.h>
 #include <fmt/format.h>
+#include <jujubespool/adapter/run_manager.h>
+#include <jujubespool/adapter/settings.h>
 #include <jujubespool/entry/entry_host.h>
 #include <jujubespool/entry/logger.h>
 
@@ -10,12 +13,18 @@
 const char USAGE[] = R"(jujubespoold - entry host of a jujubespool fleet.
 
 Usage:
+  jujubespoold manager [--settings=FILE] [--metrics-port=PORT] [--log-level=LEVEL] [--check]
   jujubespoold --settings=FILE [--log-level=LEVEL] [--check]
   jujubespoold (-h | --help)
   jujubespoold --version
 
+Without a command the process is an entry host that forwards requests. As a manager it runs jobs on the
+platform's workers; its settings have the platform's form.
+
 Options:
-  --settings=FILE    Settings of this entry host, in YAML.
+  --settings=FILE    Settings of this entry host, in YAML; of a manager, in the platform's form, by default
+                     from where the platform puts them.
+  --metrics-port=PORT  Port of a manager's counters and histograms; 0 for none [default: 0].
   --log-level=LEVEL  Least level that is logged: debug, info, warning or error [default: info].
   --check            Only check the settings.
   -h --help          Show this text.
@@ -27,6 +36,26 @@
     return static_cast<int>(code);
 }
 
+int runManager(const std::string &path, const std::string &metricsPort, bool checkOnly)
+{
+    using namespace jujubespool;
+    std::string problem;
+    std::optional<manager_settings> settings = adapter::readSettings(adapter::settingsPath(path), problem);
+    std::uint16_t port = 0;
+    const char *textEnd = metricsPort.data() + metricsPort.size();
+    const auto [end, error] = std::from_chars(metricsPort.data(), textEnd, port);
+    if (error != std::errc() || end != textEnd) {
+        problem = "--metrics-port: a port is needed";
+        settings.reset();
+    }
+    if (!settings) {
+        fmt::print(stderr, "jujubespoold: {}\n", problem);
+        return exitWith(exit_code::usage);
+    }
+    settings->metricsPort = port;
+    return exitWith(checkOnly ? exit_code::stopped : adapter::runManager(*settings));
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -51,7 +80,10 @@
         return exitWith(exit_code::usage);
     }
     setLogLevel(*level);
-    const std::string path = arguments["--settings"].asString();
+    const std::string path = arguments["--settings"] ? arguments["--settings"].asString() : std::string();
+    if (arguments["manager"].asBool()) {
+        return runManager(path, arguments["--metrics-port"].asString(), arguments["--check"].asBool());
+    }
     std::vector<config_problem> problems;
     const auto settings = readSettings(path, problems);
     if (!settings) {
--- a/packages/entry/src/metrics.cpp
+++ b/packages/entry/src/metrics.cpp
@@ -32,12 +32,22 @@
 
 void metrics::observe(const std::string &team, request_class priority, duration latency)
 {
-    histogram &target = m_histograms[{ team, priority }];
-    const double latencyS = static_cast<double>(latency.count()) / 1e6;
-    target.all(latencyS);
-    const auto bucket = std::lower_bound(BUCKETS_S.begin(), BUCKETS_S.end(), latencyS);
+    add({ "latency", fmt::format("team=\"{}\",class=\"{}\"", team, nameOf(priority)) }, latency);
+}
+
+void metrics::observe(const std::string &event, const std::string &team, duration time)
+{
+    add({ event, fmt::format("team=\"{}\"", team) }, time);
+}
+
+void metrics::add(const histogram_key &key, duration time)
+{
+    histogram &target = m_histograms[key];
+    const double timeS = static_cast<double>(time.count()) / 1e6;
+    target.all(timeS);
+    const auto bucket = std::lower_bound(BUCKETS_S.begin(), BUCKETS_S.end(), timeS);
     if (bucket != BUCKETS_S.end()) {
-        target.buckets[static_cast<std::size_t>(bucket - BUCKETS_S.begin())](latencyS);
+        target.buckets[static_cast<std::size_t>(bucket - BUCKETS_S.begin())](timeS);
     }
 }
 
@@ -55,17 +65,20 @@
     for (const auto &[name, value] : m_gauges) {
         text += fmt::format("# TYPE jujubespool_{0} gauge\njujubespool_{0} {1}\n", name, value);
     }
-    text += "# TYPE jujubespool_latency_seconds histogram\n";
+    last.clear();
     for (const auto &[key, item] : m_histograms) {
-        const std::string labels = fmt::format("team=\"{}\",class=\"{}\"", key.team, nameOf(key.priority));
+        if (key.name != last) {
+            text += fmt::format("# TYPE jujubespool_{}_seconds histogram\n", key.name);
+            last = key.name;
+        }
         std::size_t below = 0;
         for (std::size_t i = 0; i < BUCKETS_S.size(); ++i) {
             below += acc::count(item.buckets[i]);
-            text += fmt::format("jujubespool_latency_seconds_bucket{{{},le=\"{}\"}} {}\n", labels, BUCKETS_S[i], below);
+            text += fmt::format("jujubespool_{}_seconds_bucket{{{},le=\"{}\"}} {}\n", key.name, key.labels, BUCKETS_S[i], below);
         }
-        text += fmt::format("jujubespool_latency_seconds_bucket{{{},le=\"+Inf\"}} {}\n", labels, acc::count(item.all));
-        text += fmt::format("jujubespool_latency_seconds_sum{{{}}} {}\n", labels, acc::sum(item.all));
-        text += fmt::format("jujubespool_latency_seconds_count{{{}}} {}\n", labels, acc::count(item.all));
+        text += fmt::format("jujubespool_{}_seconds_bucket{{{},le=\"+Inf\"}} {}\n", key.name, key.labels, acc::count(item.all));
+        text += fmt::format("jujubespool_{}_seconds_sum{{{}}} {}\n", key.name, key.labels, acc::sum(item.all));
+        text += fmt::format("jujubespool_{}_seconds_count{{{}}} {}\n", key.name, key.labels, acc::count(item.all));
     }
     return text;
 }
--- a/packages/entry/test/fake_fleet.cpp
+++ b/packages/entry/test/fake_fleet.cpp
@@ -217,15 +217,15 @@
     m_endpoints.erase(peer);
 }
 
-void fake_transport::send(std::uint64_t peer, const wire::peer_message &message)
+bool fake_transport::send(std::uint64_t peer, const wire::peer_message &message)
 {
     const auto found = m_endpoints.find(peer);
     if (found == m_endpoints.end() || !m_fleet.linked(m_host, found->second)) {
-        return;
+        return false;
     }
     m_sent += message.ByteSizeLong();
     if (static_cast<double>(m_fleet.random(1000)) < m_fleet.faults.dropMessages * 1000) {
-        return;
+        return true;
     }
     const duration latency = microseconds(200 + m_fleet.random(2000));
     m_fleet.m_time.at(m_fleet.m_time.now() + latency, [&fleet = m_fleet, target = found->second, message] {
@@ -234,6 +234,7 @@
             host->clock->afterExactly(duration(0), [host, message] { host->transport->receive(message); });
         }
     });
+    return true;
 }
 
 void fake_transport::receive(const wire::peer_message &message)
--- a/packages/entry/test/fake_fleet.h
+++ b/packages/entry/test/fake_fleet.h
@@ -119,7 +119,7 @@
     void setReceiver(peer_receiver &receiver) override;
     void connect(std::uint64_t peer, const std::string &endpoint) override;
     void disconnect(std::uint64_t peer) override;
-    void send(std::uint64_t peer, const wire::peer_message &message) override;
+    bool send(std::uint64_t peer, const wire::peer_message &message) override;
     std::uint64_t sentBytes() const override
     {
         return m_sent;
--- /dev/null
+++ b/packages/jobs/include/jujubespool/jobs/gateways.h
@@ -0,0 +1,326 @@
+// What the job manager needs from outside: the store, workers, the host service and the advice service.
+//
+//     gateway.start(order, [](const start_result &result, instant now) { ... });
+//
+// Every call ends with exactly one callback, which carries the time at which it is made, and never before
+// the call has returned.
+#pragma once
+
+#include <functional>
+#include <jujubespool/core/failure.h>
+#include <jujubespool/jobs/worker_book.h>
+
+namespace jujubespool {
+
+// One key of the store. Without a value the key is dropped.
+struct ledger_entry
+{
+    std::string key;
+    std::optional<std::string> value;
+};
+
+enum class append_end {
+    done,
+    // Another writer with a higher epoch has taken over.
+    fenced,
+    // The log does not end where it had to.
+    moved,
+    // Certainly not written; may be tried again.
+    rejected,
+    // No answer: it may have been written.
+    unknown
+};
+
+template <> struct enum_names<append_end>
+{
+    static constexpr std::array<std::string_view, 5> NAMES{ "done", "fenced", "moved", "rejected", "unknown" };
+};
+
+struct ledger_append
+{
+    std::uint64_t epoch = 0;
+    // Position of the call in the epoch; a repeat of the same call carries the same number.
+    std::uint64_t sequence = 0;
+    // The offset at which the log has to end, if given.
+    std::optional<std::uint64_t> expectedEnd;
+    std::vector<ledger_entry> entries;
+    milliseconds timeout{ 0 };
+};
+
+struct append_outcome
+{
+    append_end end = append_end::unknown;
+    std::uint64_t logEnd = 0;
+    failure reason;
+};
+
+class ledger_store
+{
+public:
+    virtual ~ledger_store() = default;
+    virtual void append(const ledger_append &call, std::function<void(const append_outcome &, instant now)> done) = 0;
+};
+
+// What the store keeps for us, one feed each.
+enum class feed {
+    // Jobs, waves and the ownership.
+    ledger,
+    // Processes of the system.
+    members,
+    // What the operators have ordered: configuration and waves.
+    operators,
+    // Workers' reports about themselves.
+    workers
+};
+
+template <> struct enum_names<feed>
+{
+    static constexpr std::array<std::string_view, 4> NAMES{ "ledger", "members", "operators", "workers" };
+};
+
+struct feed_page
+{
+    bool answered = false;
+    // The records asked for are gone: the newest of each key have to be read.
+    bool historyLost = false;
+    std::vector<ledger_entry> entries;
+    // Offset after the last record of the feed.
+    std::uint64_t end = 0;
+    // Offset after the last record of this page.
+    std::uint64_t next = 0;
+    // Newest entries: more follow after this key.
+    std::optional<std::string> continueAfter;
+    failure reason;
+};
+
+class feed_reader
+{
+public:
+    using page_callback = std::function<void(const feed_page &, instant now)>;
+    virtual ~feed_reader() = default;
+    // Reads the newest entry of each key, in pages.
+    virtual void newest(feed which, const std::string &after, page_callback done) = 0;
+    // Reads from the offset; waits that long when nothing is there.
+    virtual void read(feed which, std::uint64_t from, milliseconds wait, page_callback done) = 0;
+    // Puts an entry without any condition.
+    virtual void put(feed which, const ledger_entry &entry, std::function<void(const append_outcome &, instant now)> done) = 0;
+};
+
+enum class order_end {
+    accepted,
+    // A higher fencing token has been used there.
+    fenced,
+    // The run is not higher than one that was stopped or has ended there.
+    old,
+    // The lease time had passed.
+    late,
+    no_room,
+    bad_ticket,
+    // Nothing was done, now or later.
+    refused,
+    // Another life of the worker answered.
+    other_life,
+    // No answer: it may have been carried out, or will be.
+    unknown
+};
+
+template <> struct enum_names<order_end>
+{
+    static constexpr std::array<std::string_view, 9> NAMES{ "accepted",   "fenced",  "old",        "late",   "no-room",
+                                                            "bad-ticket", "refused", "other-life", "unknown" };
+};
+
+struct order_result
+{
+    order_end end = order_end::unknown;
+    // The worker's clock, if the answer told it.
+    std::optional<std::int64_t> clockMs;
+    failure reason;
+};
+
+struct worker_address
+{
+    std::string id;
+    std::uint64_t born = 0;
+    std::string address;
+};
+
+struct start_order
+{
+    worker_address worker;
+    task_key task;
+    int run = 0;
+    std::string spec;
+    // End of the lease, on the worker's clock.
+    std::int64_t untilMs = 0;
+    std::uint64_t fencingToken = 0;
+    std::string checkpoint;
+    std::string ticket;
+    bool repeated = false;
+};
+
+struct stop_order
+{
+    worker_address worker;
+    task_key task;
+    int run = 0;
+    std::uint64_t fencingToken = 0;
+};
+
+struct pace_order
+{
+    worker_address worker;
+    task_key task;
+    int run = 0;
+    int percent = 100;
+    std::uint64_t fencingToken = 0;
+};
+
+struct look_order
+{
+    worker_address worker;
+    std::uint64_t fencingToken = 0;
+    // Ends up to this number are recorded and may be forgotten.
+    std::uint64_t recordedEnds = 0;
+    // New end of the lease on the worker's clock, if it is to be renewed.
+    std::optional<std::int64_t> untilMs;
+    // How long the worker may wait for an end before it answers.
+    milliseconds wait{ 0 };
+};
+
+enum class run_end { done, failed, stopped, lapsed, broken, alone };
+
+template <> struct enum_names<run_end>
+{
+    static constexpr std::array<std::string_view, 6> NAMES{ "done", "failed", "stopped", "lapsed", "broken", "alone" };
+};
+
+struct running_run
+{
+    task_key task;
+    int run = 0;
+    std::string checkpoint;
+    int progressPercent = 0;
+    std::int64_t figure = 0;
+};
+
+struct finished_run
+{
+    std::uint64_t number = 0;
+    task_key task;
+    int run = 0;
+    run_end end = run_end::done;
+    std::string checkpoint;
+};
+
+struct look_result
+{
+    order_end end = order_end::unknown;
+    std::int64_t clockMs = 0;
+    std::uint64_t born = 0;
+    std::vector<running_run> running;
+    std::vector<finished_run> finished;
+    failure reason;
+};
+
+class worker_gateway
+{
+public:
+    using order_callback = std::function<void(const order_result &, instant now)>;
+    virtual ~worker_gateway() = default;
+    virtual void start(const start_order &order, order_callback done) = 0;
+    virtual void stop(const stop_order &order, order_callback done) = 0;
+    virtual void pace(const pace_order &order, order_callback done) = 0;
+    virtual void look(const look_order &order, std::function<void(const look_result &, instant now)> done) = 0;
+};
+
+enum class host_condition { up, moving, upkeep, down };
+
+template <> struct enum_names<host_condition>
+{
+    static constexpr std::array<std::string_view, 4> NAMES{ "up", "moving", "upkeep", "down" };
+};
+
+struct host_entry
+{
+    std::string name;
+    std::string pool;
+    host_condition state = host_condition::up;
+    std::string dataCenter;
+    std::vector<std::string> labels;
+    resources capacity;
+    // Worker that runs on the host; empty while none does.
+    std::string worker;
+};
+
+struct host_list
+{
+    std::optional<std::vector<host_entry>> hosts;
+    failure reason;
+};
+
+enum class host_order_end { done, fenced, busy, wrong_wave, invalid, refused, unknown };
+
+template <> struct enum_names<host_order_end>
+{
+    static constexpr std::array<std::string_view, 7> NAMES{ "done", "fenced", "busy", "wrong-wave", "invalid", "refused", "unknown" };
+};
+
+struct host_order_result
+{
+    host_order_end end = host_order_end::unknown;
+    failure reason;
+};
+
+struct host_order
+{
+    std::string host;
+    std::string holder;
+    std::uint64_t fencingToken = 0;
+};
+
+class host_gateway
+{
+public:
+    using order_callback = std::function<void(const host_order_result &, instant now)>;
+    virtual ~host_gateway() = default;
+    virtual void list(std::function<void(const host_list &, instant now)> done) = 0;
+    virtual void move(const host_order &order, const std::string &pool, order_callback done) = 0;
+    virtual void upkeep(const host_order &order, std::uint64_t wave, order_callback done) = 0;
+};
+
+// Workers that may run a step, with the ticket that a start there carries.
+struct advice_result
+{
+    // Empty when there was no usable answer.
+    std::optional<std::map<std::string, std::string>> tickets;
+    milliseconds validity{ 0 };
+    failure reason;
+};
+
+class advice_gateway
+{
+public:
+    virtual ~advice_gateway() = default;
+    virtual void ask(const std::string &step, const std::vector<std::string> &workers,
+                     std::function<void(const advice_result &, instant now)> done)
+        = 0;
+};
+
+// Receives one line for each decision that touches a job or changes a belief.
+class decision_log
+{
+public:
+    struct field
+    {
+        std::string_view key;
+        std::string value;
+    };
+    virtual ~decision_log() = default;
+    virtual void write(std::string_view event, std::initializer_list<field> fields) = 0;
+    virtual void count(std::string_view counter, std::string_view label) = 0;
+    // A duration for the histogram of the team and the event.
+    virtual void observe(std::string_view event, const std::string &team, duration time) = 0;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -0,0 +1,108 @@
+// The owner of the jobs: accepts them, starts their tasks on workers and records every change first.
+//
+//     job_manager manager(gateways, clock, log, bounds, epoch);
+//     manager.restore(entries, now, wall);
+//     manager.submit(request, [](submit_end end) { ... }, now, wall);
+//     manager.tick(now, wall);
+//
+// One process owns the jobs at a time. The epoch of its ownership fences its records at the store and its orders
+// at the workers, so that a former owner can do no harm.
+#pragma once
+
+#include <jujubespool/jobs/host_driver.h>
+#include <jujubespool/jobs/ledger_writer.h>
+#include <jujubespool/jobs/run_supervisor.h>
+
+namespace jujubespool {
+
+struct manager_gateways
+{
+    ledger_store &store;
+    worker_gateway &workers;
+    host_gateway &hosts;
+    advice_gateway &advice;
+    status_board &status;
+};
+
+enum class submit_end { accepted, refused };
+enum class cancel_end { cancelled, unknown_job };
+
+// A first append of the epoch has claimed the ownership; the manager's own start after it.
+constexpr std::uint64_t CLAIM_SEQUENCE = 0;
+
+class job_manager : private run_listener
+{
+public:
+    job_manager(const manager_gateways &gateways, scheduler_clock &clock, decision_log &log, const manager_bounds &bounds,
+                const std::string &holder, std::uint64_t epoch);
+
+    // Takes over what the ledger holds. The workers have been reported before.
+    void restore(const std::map<std::string, std::string> &entries, instant now, wall_ms wall);
+    void setConfig(std::shared_ptr<const fleet_config> config, instant now);
+    void onWorkerReport(const worker_report &report, instant now);
+    void onWorkerUnlisted(const std::string &id, instant now);
+    void onWave(const upkeep_wave &wave, instant now);
+
+    void submit(const job_request &request, std::function<void(submit_end end)> done, instant now, wall_ms wall);
+    void cancel(const std::string &id, std::function<void(cancel_end end)> done, instant now, wall_ms wall);
+    // Calls back with the state, or with nothing for an unknown job, once what it rests on is durable.
+    void queryState(const std::string &id, std::function<void(std::optional<job_state> state)> done, instant now);
+    int pendingJobs(const std::string &queue) const;
+
+    void tick(instant now, wall_ms wall);
+    // Starts nothing more. Calls back when everything is durable.
+    void resign(std::function<void(instant now)> done, instant now);
+    // Called once when another owner has taken over.
+    void onLost(std::function<void(instant now)> call)
+    {
+        m_onLost = std::move(call);
+    }
+    // Puts the ownership record again, so that others see that this owner works.
+    void renewOwnership(const ledger_entry &record, instant now);
+    instant lastDurableAt() const
+    {
+        return m_writer.lastDurableAt();
+    }
+    duration storeSilentFor(instant now) const
+    {
+        return m_writer.silentFor(now);
+    }
+    const fleet_model &model() const
+    {
+        return m_model;
+    }
+
+private:
+    void onProgress(instant now) override;
+    void whenDurable(std::function<void(instant now)> call, instant now) override;
+    void onFenced(instant now) override;
+    void onBadTicket(const task_key &key, const std::string &workerId) override;
+    wall_ms wallNow() const override;
+    void settle(instant now);
+    void schedule(instant now);
+    void writeChanged();
+    void ask(const advice_question &question);
+    void stopRuns(const std::string &id, instant now);
+    void stopEnded(instant now);
+    void forgetOld(wall_ms wall);
+    void restoreJob(const wire::job_image &image, instant now);
+
+    manager_gateways m_gateways;
+    scheduler_clock &m_clock;
+    decision_log &m_log;
+    fleet_model m_model;
+    ledger_writer m_writer;
+    run_supervisor m_runs;
+    run_scheduler m_scheduler;
+    advice_book m_advice;
+    host_driver m_hosts;
+    bool m_scheduleNeeded = false;
+    bool m_resigned = false;
+    bool m_lost = false;
+    wall_ms m_wall = 0;
+    instant m_lastForget;
+    std::function<void(instant now)> m_onLost;
+    lifetime m_lifetime;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/include/jujubespool/jobs/owner_election.h
@@ -0,0 +1,90 @@
+// Decides when a process tries to become the owner of the jobs.
+//
+//     owner_election election(rank);
+//     election.noteBeat(epoch, storeSilent, now);
+//     if (election.next(now) == election_action::claim) { ... }
+//
+// The ledger decides who owns: a claim is an append at the ledger's end with a higher epoch, which fences the
+// former owner. So a wrong suspicion does no harm but a change of owner. A process claims when it does not
+// hear the owner and either the ledger stands still, or most processes that it hears do not hear the owner.
+#pragma once
+
+#include <cstdint>
+#include <jujubespool/core/names.h>
+#include <jujubespool/core/time.h>
+#include <map>
+#include <optional>
+
+namespace jujubespool {
+
+enum class election_action { none, read_ledger, claim };
+
+template <> struct enum_names<election_action>
+{
+    static constexpr std::array<std::string_view, 3> NAMES{ "none", "read-ledger", "claim" };
+};
+
+// The owner's silence after which it is suspected.
+constexpr milliseconds OWNER_SUSPICION{ 450 };
+// The owner's own silence of the store after which it is not trusted to record anything.
+constexpr milliseconds STORE_SUSPICION{ 1200 };
+// The ledger has to stand still for this long; a working owner writes more often.
+constexpr milliseconds LEDGER_QUIET{ 700 };
+constexpr milliseconds OWNER_RENEWAL{ 400 };
+constexpr milliseconds LEDGER_READ_INTERVAL{ 250 };
+// Each rank waits this much longer, so that claims rarely race.
+constexpr milliseconds RANK_DELAY{ 120 };
+// Silence of the owner after which most processes may replace it although it still writes.
+constexpr milliseconds MAJORITY_SUSPICION{ 1200 };
+constexpr milliseconds PEER_SILENCE{ 1500 };
+
+class owner_election
+{
+public:
+    // Smaller ranks claim earlier.
+    void setRank(int rank)
+    {
+        m_rank = rank;
+    }
+    void noteBeat(std::uint64_t epoch, milliseconds storeSilent, instant now);
+    void notePeer(std::uint64_t peer, bool suspects, instant now);
+    // The ledger was read to its end.
+    void noteLedger(std::uint64_t end, bool ownerResigned, bool ownerKnown, instant now);
+    // The owner has asked this process to follow it.
+    void noteHandover(instant now);
+    // This process has lost a claim or its ownership.
+    void noteLost(instant now);
+    bool suspects(instant now) const;
+    bool hearsOwner(instant now) const;
+    std::uint64_t epoch() const
+    {
+        return m_epoch;
+    }
+    election_action next(instant now);
+
+private:
+    bool majoritySuspects(instant now) const;
+    milliseconds patience() const;
+
+    int m_rank = 0;
+    std::uint64_t m_epoch = 0;
+    std::optional<instant> m_lastBeat;
+    milliseconds m_storeSilent{ 0 };
+    struct peer
+    {
+        bool suspects = false;
+        instant heardAt;
+    };
+    std::map<std::uint64_t, peer> m_peers;
+    std::optional<std::uint64_t> m_ledgerEnd;
+    instant m_ledgerEndSince;
+    instant m_ledgerAnsweredAt;
+    instant m_ledgerReadAt;
+    bool m_free = false;
+    bool m_handover = false;
+    instant m_startedAt;
+    bool m_started = false;
+    instant m_notBefore;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -0,0 +1,36 @@
+// Chooses the worker for one task.
+//
+//     worker *target = chooseWorker(model.workers(), request, now);
+//
+// Tasks that end are packed, so that whole workers stay free for large tasks and for switching off. Tasks that
+// last and tasks that fill are spread, because they disturb each other.
+#pragma once
+
+#include <functional>
+#include <jujubespool/jobs/worker_book.h>
+
+namespace jujubespool {
+
+struct placement_request
+{
+    task_key task;
+    const step_spec *step = nullptr;
+    std::string pool;
+    // Rack on which the task has to run; empty for any.
+    std::string rack;
+    // Worker on which the task failed last; taken only if no other fits.
+    std::string avoid;
+    // Further condition on the worker, if any.
+    std::function<bool(const worker &)> permitted;
+};
+
+// The worker is in service and nothing speaks against new work there.
+bool mayTake(const worker &target, instant now);
+
+// The step's tasks would fit on the worker if it were empty.
+bool fitsEver(const worker &target, const step_spec &step);
+
+// Null when no worker of the pool has room now.
+worker *chooseWorker(worker_book &workers, const placement_request &request, instant now);
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/include/jujubespool/jobs/worker_book.h
@@ -0,0 +1,121 @@
+// The workers of the fleet: what they report, what is placed on them and until when their leases hold.
+//
+//     worker_book book(bounds);
+//     book.report(report, now);
+//     if (book.find(id)->fits(need)) { ... }
+//
+// A worker may come back under the same id with another birth time. That is another life: nothing of the
+// former one runs there.
+#pragma once
+
+#include <jujubespool/jobs/job.h>
+#include <map>
+#include <set>
+
+namespace jujubespool {
+
+enum class worker_state { ready, draining };
+
+template <> struct enum_names<worker_state>
+{
+    static constexpr std::array<std::string_view, 2> NAMES{ "ready", "draining" };
+};
+
+// What a worker says of itself in the platform's list.
+struct worker_report
+{
+    std::string id;
+    std::string address;
+    std::string pool;
+    std::string dataCenter;
+    worker_state state = worker_state::ready;
+    resources capacity;
+    std::vector<std::string> labels;
+    // Start of this life, in Unix milliseconds.
+    std::uint64_t born = 0;
+    // While draining: the least time that is left.
+    milliseconds remaining{ 0 };
+};
+
+// A run that is placed on a worker.
+struct placed_run
+{
+    int run = 0;
+    resources need;
+    bool fills = false;
+    // The worker has confirmed the run, by an answer or in a list.
+    bool confirmed = false;
+    // Orders for the run have been sent and at least one has no answer.
+    bool inDoubt = false;
+    bool stopping = false;
+    instant placedAt;
+    instant confirmedAt;
+    // Share of its speed, in percent, at which we let it work.
+    int pace = 100;
+    // The worker's last figure: tail of response times in milliseconds for a task with a target, else processors.
+    std::int64_t figure = 0;
+    int progressPercent = 0;
+    milliseconds target{ 0 };
+};
+
+struct worker
+{
+    worker_report report;
+    // The entry is in the platform's list.
+    bool listed = false;
+    std::map<task_key, placed_run> runs;
+    // Sum of what the placed runs need; filling tasks count with their memory alone.
+    resources used;
+    // The worker's own clock at a moment of ours.
+    std::int64_t clockMs = 0;
+    instant clockReadAt;
+    bool clockKnown = false;
+    // Our latest promise: nothing runs there after this unless it is renewed.
+    instant leaseEnd;
+    // Highest number of an end that was seen, and the highest whose record is durable.
+    std::uint64_t endsSeen = 0;
+    std::uint64_t endsRecorded = 0;
+    // A look with our fencing token has been answered by this life.
+    bool looked = false;
+    bool holdInFlight = false;
+    instant holdNotBefore;
+    instant lastAnswer;
+    int unansweredInRow = 0;
+    // No new work before this time: the worker was silent, unhealthy or short of room.
+    instant avoidUntil;
+    milliseconds avoidStep{ 0 };
+    // No new work: the host is due for upkeep or is to move.
+    bool cordoned = false;
+    int failuresInRow = 0;
+
+    bool hasLabel(const std::string &label) const;
+    std::string rack() const;
+    resources room() const;
+    int tasksOf(const std::string &jobId, int occurrence, int step) const;
+    void place(const task_key &key, const placed_run &run);
+    void remove(const task_key &key);
+};
+
+class worker_book
+{
+public:
+    // Adds or updates the entry. Returns the runs that ended because the worker has begun another life.
+    std::vector<task_key> report(const worker_report &report, instant now);
+    void unlist(const std::string &id);
+    // Forgets workers that are not listed and run nothing.
+    void forgetGone(instant now);
+    worker *find(const std::string &id);
+    std::map<std::string, worker> &all()
+    {
+        return m_workers;
+    }
+    const std::map<std::string, worker> &all() const
+    {
+        return m_workers;
+    }
+
+private:
+    std::map<std::string, worker> m_workers;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/src/advice_book.cpp
@@ -0,0 +1,66 @@
+#include <jujubespool/jobs/advice_book.h>
+
+namespace jujubespool {
+
+namespace {
+
+// A ticket has to be valid still when the start arrives.
+constexpr milliseconds TICKET_MARGIN{ 150 };
+
+} // namespace
+
+const std::string *advice_book::ticketFor(const std::string &step, const worker &target, instant now) const
+{
+    const auto advice = m_steps.find(step);
+    if (advice == m_steps.end()) {
+        return nullptr;
+    }
+    const auto found = advice->second.good.find(target.report.id);
+    const bool valid
+        = found != advice->second.good.end() && found->second.born == target.report.born && now + TICKET_MARGIN < found->second.validUntil;
+    return valid ? &found->second.text : nullptr;
+}
+
+bool advice_book::refused(const std::string &step, const std::string &workerId) const
+{
+    const auto advice = m_steps.find(step);
+    return advice != m_steps.end() && advice->second.refused.count(workerId) > 0;
+}
+
+void advice_book::noteAsked(const std::string &step)
+{
+    m_asking.insert(step);
+}
+
+void advice_book::noteAnswer(const advice_question &question, const advice_result &answer, const worker_book &workers, instant now)
+{
+    m_asking.erase(question.step);
+    if (!answer.tickets) {
+        return;
+    }
+    step_advice &advice = m_steps[question.step];
+    for (const std::string &id : question.workers) {
+        const auto good = answer.tickets->find(id);
+        const auto target = workers.all().find(id);
+        if (good == answer.tickets->end()) {
+            advice.refused.insert(id);
+        } else if (target != workers.all().end()) {
+            advice.good[id] = { good->second, target->second.report.born, now + answer.validity };
+        }
+    }
+}
+
+void advice_book::dropTicket(const std::string &step, const std::string &workerId)
+{
+    const auto advice = m_steps.find(step);
+    if (advice != m_steps.end()) {
+        advice->second.good.erase(workerId);
+    }
+}
+
+void advice_book::forgetStep(const std::string &step)
+{
+    m_steps.erase(step);
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/src/fleet_model.cpp
@@ -0,0 +1,214 @@
+#include <jujubespool/jobs/fleet_model.h>
+
+#include <algorithm>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr milliseconds LEASE_LENGTH{ 4500 };
+constexpr milliseconds LEASE_MARGIN{ 200 };
+
+} // namespace
+
+fleet_model::fleet_model(const manager_bounds &bounds)
+    : m_bounds(bounds)
+{
+}
+
+milliseconds fleet_model::leaseLength() const
+{
+    return std::min(LEASE_LENGTH, m_bounds.maxLease);
+}
+
+duration fleet_model::leaseBound() const
+{
+    return duration(static_cast<std::int64_t>(static_cast<double>(duration(leaseLength()).count()) / SLOWEST_WORKER_CLOCK))
+        + duration(LEASE_MARGIN);
+}
+
+void fleet_model::setConfig(std::shared_ptr<const fleet_config> config)
+{
+    m_config = std::move(config);
+    for (const queue_config &queue : m_config->queues) {
+        m_knownQueues[queue.name] = queue;
+    }
+}
+
+const queue_config *fleet_model::queueOf(const job &item) const
+{
+    const auto found = m_knownQueues.find(item.request().queue);
+    return found == m_knownQueues.end() ? nullptr : &found->second;
+}
+
+job *fleet_model::find(const std::string &id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+job &fleet_model::add(job item)
+{
+    const std::string id = item.request().id;
+    if (!item.ended()) {
+        m_live.insert(id);
+    }
+    return m_jobs.insert_or_assign(id, std::move(item)).first->second;
+}
+
+void fleet_model::drop(const std::string &id)
+{
+    m_live.erase(id);
+    m_changed.erase(id);
+    m_jobs.erase(id);
+}
+
+void fleet_model::touch(const std::string &id)
+{
+    m_changed.insert(id);
+}
+
+std::set<std::string> fleet_model::takeChanged()
+{
+    return std::exchange(m_changed, {});
+}
+
+resources fleet_model::needOf(const step_spec &step)
+{
+    return step.each;
+}
+
+int fleet_model::place(const task_key &key, worker &target, instant now, int run)
+{
+    job &item = *find(key.job);
+    task_progress &task = *item.task(key);
+    const step_spec &step = item.step(key.step);
+    task.phase = task_phase::assigned;
+    task.run = run > 0 ? run : task.run + 1;
+    task.worker = target.report.id;
+    task.born = target.report.born;
+    placed_run placed;
+    placed.run = task.run;
+    placed.need = needOf(step);
+    placed.fills = step.fills;
+    placed.placedAt = now;
+    placed.target = step.target;
+    target.place(key, placed);
+    m_usage.add(item.request().team, placed.need);
+    if (item.state() == job_state::queued) {
+        item.setState(job_state::running, 0);
+    }
+    touch(key.job);
+    return task.run;
+}
+
+void fleet_model::restorePlaced(const task_key &key, instant now)
+{
+    job &item = *find(key.job);
+    task_progress &task = *item.task(key);
+    worker *target = m_workers.find(task.worker);
+    const bool newLife = target != nullptr && target->report.born > task.born;
+    if (newLife) {
+        task.phase = task_phase::waiting;
+        touch(key.job);
+        return;
+    }
+    if (target == nullptr) {
+        // Not listed: its lease has to lapse before the task may run elsewhere.
+        worker_report unknown;
+        unknown.id = task.worker;
+        unknown.born = task.born;
+        m_workers.report(unknown, now);
+        m_workers.unlist(unknown.id);
+        target = m_workers.find(task.worker);
+    }
+    const step_spec &step = item.step(key.step);
+    placed_run placed;
+    placed.run = task.run;
+    placed.need = needOf(step);
+    placed.fills = step.fills;
+    placed.confirmed = true;
+    placed.placedAt = now;
+    placed.confirmedAt = now;
+    placed.target = step.target;
+    target->place(key, placed);
+    target->leaseEnd = now + leaseBound();
+    m_usage.add(item.request().team, placed.need);
+}
+
+void fleet_model::unplace(const task_key &key, const task_progress &task)
+{
+    const job &item = *find(key.job);
+    worker *target = m_workers.find(task.worker);
+    if (target != nullptr) {
+        target->remove(key);
+    }
+    m_usage.remove(item.request().team, needOf(item.step(key.step)));
+}
+
+void fleet_model::release(const task_key &key)
+{
+    job *item = find(key.job);
+    task_progress *task = item == nullptr ? nullptr : item->task(key);
+    if (task == nullptr || task->phase != task_phase::assigned) {
+        return;
+    }
+    unplace(key, *task);
+    task->phase = task_phase::waiting;
+    task->worker.clear();
+    touch(key.job);
+}
+
+void fleet_model::releaseAll(const std::vector<task_key> &keys)
+{
+    for (const task_key &key : keys) {
+        release(key);
+    }
+}
+
+bool fleet_model::applyEnd(const finished_run &finished, const std::string &workerId, wall_ms wall)
+{
+    const task_key &key = finished.task;
+    job *item = find(key.job);
+    task_progress *task = item == nullptr ? nullptr : item->task(key);
+    if (task == nullptr || task->phase != task_phase::assigned || task->run != finished.run || task->worker != workerId) {
+        return false;
+    }
+    unplace(key, *task);
+    task->phase = task_phase::waiting;
+    touch(key.job);
+    if (!finished.checkpoint.empty()) {
+        task->checkpoint = finished.checkpoint;
+    }
+    const step_spec &step = item->step(key.step);
+    if (finished.end == run_end::done && !step.longRunning) {
+        item->markDone(key);
+        if (!item->ended() && item->closeFinished()) {
+            endJob(*item, job_state::completed, wall);
+        }
+        return true;
+    }
+    if (finished.end != run_end::failed) {
+        task->worker.clear();
+        return true;
+    }
+    // The worker's id stays, so that the next run avoids it.
+    if (!step.longRunning) {
+        ++task->failures;
+        const queue_config *queue = queueOf(*item);
+        if (queue != nullptr && task->failures >= queue->attempts && !item->ended()) {
+            task->phase = task_phase::failed;
+            endJob(*item, job_state::failed, wall);
+        }
+    }
+    return true;
+}
+
+void fleet_model::endJob(job &item, job_state state, wall_ms wall)
+{
+    item.setState(state, wall);
+    m_live.erase(item.request().id);
+    touch(item.request().id);
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/src/job.cpp
@@ -0,0 +1,334 @@
+#include <jujubespool/jobs/job.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace jujubespool {
+
+namespace {
+
+wire::step_image toImage(const step_spec &step)
+{
+    wire::step_image image;
+    image.set_count(static_cast<std::uint32_t>(step.count));
+    image.set_cpu_millis(step.each.cpuMillis);
+    image.set_memory_mb(step.each.memoryMb);
+    image.set_gpus(step.each.gpus);
+    image.set_estimated_ms(step.estimated.count());
+    for (const int before : step.after) {
+        image.add_after(static_cast<std::uint32_t>(before));
+    }
+    image.set_saves_progress(step.savesProgress);
+    image.set_gang(step.gang);
+    image.set_same_rack(step.sameRack);
+    image.set_allows_duplicates(step.allowsDuplicates);
+    image.set_long_running(step.longRunning);
+    image.set_fills(step.fills);
+    image.set_required_label(step.requiredLabel);
+    image.set_data_rack(step.dataRack);
+    image.set_image(step.image);
+    image.set_max_per_worker(static_cast<std::uint32_t>(step.maxPerWorker));
+    image.set_may_miss(static_cast<std::uint32_t>(step.mayMiss));
+    image.set_target_ms(step.target.count());
+    return image;
+}
+
+step_spec fromImage(const wire::step_image &image)
+{
+    step_spec step;
+    step.count = static_cast<int>(image.count());
+    step.each = { image.cpu_millis(), image.memory_mb(), image.gpus() };
+    step.estimated = milliseconds(image.estimated_ms());
+    step.after.assign(image.after().begin(), image.after().end());
+    step.savesProgress = image.saves_progress();
+    step.gang = image.gang();
+    step.sameRack = image.same_rack();
+    step.allowsDuplicates = image.allows_duplicates();
+    step.longRunning = image.long_running();
+    step.fills = image.fills();
+    step.requiredLabel = image.required_label();
+    step.dataRack = image.data_rack();
+    step.image = image.image();
+    step.maxPerWorker = static_cast<int>(image.max_per_worker());
+    step.mayMiss = static_cast<int>(image.may_miss());
+    step.target = milliseconds(image.target_ms());
+    return step;
+}
+
+wire::task_image toImage(const task_progress &task)
+{
+    wire::task_image image;
+    image.set_phase(static_cast<std::uint32_t>(task.phase));
+    image.set_run(static_cast<std::uint32_t>(task.run));
+    image.set_failures(static_cast<std::uint32_t>(task.failures));
+    image.set_checkpoint(task.checkpoint);
+    image.set_worker(task.worker);
+    image.set_born(task.born);
+    return image;
+}
+
+task_progress fromImage(const wire::task_image &image)
+{
+    task_progress task;
+    task.phase = static_cast<task_phase>(std::min(image.phase(), 3U));
+    task.run = static_cast<int>(image.run());
+    task.failures = static_cast<int>(image.failures());
+    task.checkpoint = image.checkpoint();
+    task.worker = image.worker();
+    task.born = image.born();
+    return task;
+}
+
+bool parseNumber(std::string_view text, int &value)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && end == text.data() + text.size() && value >= 0;
+}
+
+} // namespace
+
+resources &resources::operator+=(const resources &other)
+{
+    cpuMillis += other.cpuMillis;
+    memoryMb += other.memoryMb;
+    gpus += other.gpus;
+    return *this;
+}
+
+resources &resources::operator-=(const resources &other)
+{
+    cpuMillis -= other.cpuMillis;
+    memoryMb -= other.memoryMb;
+    gpus -= other.gpus;
+    return *this;
+}
+
+bool resources::fitsIn(const resources &room) const
+{
+    return cpuMillis <= room.cpuMillis && memoryMb <= room.memoryMb && gpus <= room.gpus;
+}
+
+std::string task_key::text() const
+{
+    return fmt::format("{}.{}.{}.{}", job, occurrence, step, index);
+}
+
+std::optional<task_key> task_key::parse(const std::string &text)
+{
+    std::array<std::string_view, 4> parts;
+    std::string_view rest = text;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        const std::size_t dot = rest.find('.');
+        if (dot == std::string_view::npos) {
+            return std::nullopt;
+        }
+        parts[i] = rest.substr(0, dot);
+        rest.remove_prefix(dot + 1);
+    }
+    parts[3] = rest;
+    task_key key;
+    key.job = parts[0];
+    const bool numbers = parseNumber(parts[1], key.occurrence) && parseNumber(parts[2], key.step) && parseNumber(parts[3], key.index);
+    return numbers && !key.job.empty() ? std::optional(key) : std::nullopt;
+}
+
+job job::accept(const job_request &request, wall_ms now)
+{
+    job item;
+    item.m_request = request;
+    item.m_acceptedAt = now;
+    if (!item.isTimed()) {
+        item.addOccurrence(0);
+    }
+    return item;
+}
+
+occurrence_progress &job::addOccurrence(int number)
+{
+    occurrence_progress &added = m_occurrences[number];
+    for (const step_spec &step : m_request.steps) {
+        added.steps.emplace_back(static_cast<std::size_t>(step.count));
+        added.open.push_back(step.count);
+    }
+    return added;
+}
+
+std::optional<job> job::fromImage(const wire::job_image &image)
+{
+    job item;
+    item.m_request = { image.id(),
+                       image.queue(),
+                       image.team(),
+                       image.spec(),
+                       {},
+                       static_cast<int>(image.repeat_count()),
+                       image.first_run_ms(),
+                       milliseconds(image.interval_ms()) };
+    std::size_t taskCount = 0;
+    for (const wire::step_image &step : image.steps()) {
+        item.m_request.steps.push_back(jujubespool::fromImage(step));
+        taskCount += step.count();
+    }
+    item.m_state = static_cast<job_state>(std::min(image.state(), 4U));
+    item.m_acceptedAt = image.accepted_ms();
+    item.m_endedAt = image.ended_ms();
+    for (const wire::occurrence_image &entry : image.occurrences()) {
+        occurrence_progress &added = item.addOccurrence(static_cast<int>(entry.number()));
+        added.ended = entry.ended();
+        if (added.ended) {
+            std::fill(added.open.begin(), added.open.end(), 0);
+            continue;
+        }
+        if (static_cast<std::size_t>(entry.tasks_size()) != taskCount) {
+            return std::nullopt;
+        }
+        int next = 0;
+        for (std::size_t step = 0; step < added.steps.size(); ++step) {
+            for (task_progress &task : added.steps[step]) {
+                task = jujubespool::fromImage(entry.tasks(next++));
+                added.open[step] -= task.phase == task_phase::done ? 1 : 0;
+            }
+        }
+    }
+    return item;
+}
+
+wire::job_image job::toImage() const
+{
+    wire::job_image image;
+    image.set_id(m_request.id);
+    image.set_queue(m_request.queue);
+    image.set_team(m_request.team);
+    image.set_repeat_count(static_cast<std::uint32_t>(m_request.repeatCount));
+    image.set_first_run_ms(m_request.firstRun);
+    image.set_interval_ms(static_cast<std::uint64_t>(m_request.interval.count()));
+    image.set_accepted_ms(m_acceptedAt);
+    image.set_ended_ms(m_endedAt);
+    image.set_state(static_cast<std::uint32_t>(m_state));
+    if (ended() && !hasAssigned()) {
+        return image;
+    }
+    image.set_spec(m_request.spec);
+    for (const step_spec &step : m_request.steps) {
+        *image.add_steps() = jujubespool::toImage(step);
+    }
+    for (const auto &[number, progress] : m_occurrences) {
+        wire::occurrence_image &entry = *image.add_occurrences();
+        entry.set_number(static_cast<std::uint32_t>(number));
+        entry.set_ended(progress.ended);
+        if (progress.ended) {
+            continue;
+        }
+        for (const auto &tasks : progress.steps) {
+            for (const task_progress &task : tasks) {
+                *entry.add_tasks() = jujubespool::toImage(task);
+            }
+        }
+    }
+    return image;
+}
+
+void job::setState(job_state state, wall_ms now)
+{
+    m_state = state;
+    if (ended()) {
+        m_endedAt = now;
+    }
+}
+
+bool job::isLongRunning() const
+{
+    return std::any_of(m_request.steps.begin(), m_request.steps.end(), [](const step_spec &step) { return step.longRunning; });
+}
+
+wall_ms job::dueAt(int occurrence) const
+{
+    return isTimed() ? m_request.firstRun + static_cast<wall_ms>(m_request.interval.count() * occurrence) : 0;
+}
+
+bool job::openDueOccurrences(wall_ms now)
+{
+    if (!isTimed() || ended()) {
+        return false;
+    }
+    bool opened = false;
+    int next = m_occurrences.empty() ? 0 : m_occurrences.rbegin()->first + 1;
+    while (next < m_request.repeatCount && dueAt(next) <= now) {
+        addOccurrence(next++);
+        opened = true;
+    }
+    return opened;
+}
+
+bool job::stepReady(const occurrence_progress &occurrence, int step) const
+{
+    const std::vector<int> &after = this->step(step).after;
+    return std::all_of(after.begin(), after.end(), [&](int before) { return occurrence.open[static_cast<std::size_t>(before)] == 0; });
+}
+
+task_progress *job::task(const task_key &key)
+{
+    const auto found = m_occurrences.find(key.occurrence);
+    if (found == m_occurrences.end() || key.step >= static_cast<int>(found->second.steps.size())) {
+        return nullptr;
+    }
+    auto &tasks = found->second.steps[static_cast<std::size_t>(key.step)];
+    return key.index < static_cast<int>(tasks.size()) ? &tasks[static_cast<std::size_t>(key.index)] : nullptr;
+}
+
+void job::markDone(const task_key &key)
+{
+    task_progress *entry = task(key);
+    if (entry != nullptr && entry->phase != task_phase::done) {
+        *entry = { task_phase::done, entry->run, entry->failures, {}, {}, 0 };
+        --m_occurrences[key.occurrence].open[static_cast<std::size_t>(key.step)];
+    }
+}
+
+bool job::closeFinished()
+{
+    bool all = static_cast<int>(m_occurrences.size()) == occurrenceCount();
+    for (auto &[number, progress] : m_occurrences) {
+        progress.ended = progress.ended || std::all_of(progress.open.begin(), progress.open.end(), [](int open) { return open == 0; });
+        all = all && progress.ended;
+    }
+    return all;
+}
+
+template <typename Predicate> bool job::anyTask(Predicate predicate) const
+{
+    return std::any_of(m_occurrences.begin(), m_occurrences.end(), [&predicate](const auto &item) {
+        return std::any_of(item.second.steps.begin(), item.second.steps.end(),
+                           [&predicate](const auto &tasks) { return std::any_of(tasks.begin(), tasks.end(), predicate); });
+    });
+}
+
+bool job::hasStarted() const
+{
+    const auto endedOne = [](const auto &item) {
+        return item.second.ended;
+    };
+    return std::any_of(m_occurrences.begin(), m_occurrences.end(), endedOne)
+        || anyTask([](const task_progress &task) { return task.run > 0; });
+}
+
+bool job::hasAssigned() const
+{
+    return anyTask([](const task_progress &task) { return task.phase == task_phase::assigned; });
+}
+
+milliseconds remainingChain(const std::vector<step_spec> &steps, int from)
+{
+    // Steps name earlier ones only, so that one pass from the end sees each chain.
+    std::vector<milliseconds> longest(steps.size(), milliseconds(0));
+    for (std::size_t i = steps.size(); i-- > static_cast<std::size_t>(from);) {
+        longest[i] += steps[i].estimated;
+        for (const int before : steps[i].after) {
+            longest[static_cast<std::size_t>(before)] = std::max(longest[static_cast<std::size_t>(before)], longest[i]);
+        }
+    }
+    return longest[static_cast<std::size_t>(from)];
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/src/job_manager.cpp
@@ -0,0 +1,346 @@
+#include <jujubespool/jobs/job_manager.h>
+
+#include <algorithm>
+#include <jujubespool/jobs/ledger_keys.h>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr seconds FORGET_INTERVAL{ 1 };
+
+} // namespace
+
+job_manager::job_manager(const manager_gateways &gateways, scheduler_clock &clock, decision_log &log, const manager_bounds &bounds,
+                         const std::string &holder, std::uint64_t epoch)
+    : m_gateways(gateways)
+    , m_clock(clock)
+    , m_log(log)
+    , m_model(bounds)
+    , m_writer(gateways.store, clock, log, epoch, CLAIM_SEQUENCE + 1)
+    , m_runs(m_model, gateways.workers, clock, log, epoch, *this)
+    , m_hosts(m_model, m_runs, gateways.hosts, gateways.status, log, holder, epoch)
+{
+    m_writer.onFenced([this](instant now) { onFenced(now); });
+}
+
+void job_manager::restore(const std::map<std::string, std::string> &entries, instant now, wall_ms wall)
+{
+    m_wall = wall;
+    m_writer.noteDurable(now);
+    for (const auto &[key, value] : entries) {
+        const ledger_key parsed = parseLedgerKey(key);
+        wire::job_image image;
+        wire::upkeep_image upkeep;
+        if (parsed.kind == ledger_kind::job && image.ParseFromString(value)) {
+            restoreJob(image, now);
+        } else if (parsed.kind == ledger_kind::wave && upkeep.ParseFromString(value)) {
+            m_hosts.restore(std::stoull(parsed.name), upkeep);
+        }
+    }
+    m_hosts.setFirstOrderAt(now + m_model.bounds().hostLease);
+    m_log.write("ownership-restored",
+                { { "entries", std::to_string(entries.size()) },
+                  { "live_jobs", std::to_string(m_model.live().size()) },
+                  { "workers", std::to_string(m_model.workers().all().size()) } });
+    m_scheduleNeeded = true;
+    settle(now);
+}
+
+void job_manager::restoreJob(const wire::job_image &image, instant now)
+{
+    std::optional<job> parsed = job::fromImage(image);
+    if (!parsed) {
+        m_log.write("ledger-entry-unreadable", { { "job", image.id() } });
+        return;
+    }
+    job &item = m_model.add(std::move(*parsed));
+    std::vector<task_key> assigned;
+    for (const auto &[number, occurrence] : item.occurrences()) {
+        for (std::size_t step = 0; !occurrence.ended && step < occurrence.steps.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                if (occurrence.steps[step][index].phase == task_phase::assigned) {
+                    assigned.push_back({ image.id(), number, static_cast<int>(step), static_cast<int>(index) });
+                }
+            }
+        }
+    }
+    for (const task_key &key : assigned) {
+        m_model.restorePlaced(key, now);
+    }
+}
+
+void job_manager::setConfig(std::shared_ptr<const fleet_config> config, instant now)
+{
+    m_model.setConfig(std::move(config));
+    m_scheduleNeeded = true;
+    settle(now);
+}
+
+void job_manager::onWorkerReport(const worker_report &report, instant now)
+{
+    worker *before = m_model.workers().find(report.id);
+    const bool appears = before == nullptr || !before->listed || before->report.born != report.born;
+    const bool drains = !appears && before->report.state != report.state;
+    if (appears || drains) {
+        m_log.write("worker-listed",
+                    { { "worker", report.id },
+                      { "pool", report.pool },
+                      { "state", std::string(nameOf(report.state)) },
+                      { "born", std::to_string(report.born) } });
+    }
+    std::vector<task_key> ended;
+    if (before != nullptr && before->report.born < report.born) {
+        for (const auto &[key, run] : before->runs) {
+            ended.push_back(key);
+        }
+        m_model.releaseAll(ended);
+    }
+    m_model.workers().report(report, now);
+    if (appears || drains) {
+        m_scheduleNeeded = true;
+        settle(now);
+    }
+}
+
+void job_manager::onWorkerUnlisted(const std::string &id, instant)
+{
+    m_log.write("worker-unlisted", { { "worker", id } });
+    m_model.workers().unlist(id);
+}
+
+void job_manager::onWave(const upkeep_wave &wave, instant now)
+{
+    m_hosts.setWave(wave, now);
+}
+
+void job_manager::submit(const job_request &request, std::function<void(submit_end end)> done, instant now, wall_ms wall)
+{
+    m_wall = wall;
+    if (m_resigned || m_lost) {
+        done(submit_end::refused);
+        return;
+    }
+    if (m_model.find(request.id) == nullptr) {
+        job &item = m_model.add(job::accept(request, wall));
+        item.openDueOccurrences(wall);
+        m_model.touch(request.id);
+        m_scheduleNeeded = true;
+    }
+    settle(now);
+    m_writer.whenDurable([done](instant) { done(submit_end::accepted); }, now);
+}
+
+void job_manager::cancel(const std::string &id, std::function<void(cancel_end end)> done, instant now, wall_ms wall)
+{
+    m_wall = wall;
+    job *item = m_model.find(id);
+    if (item == nullptr) {
+        done(cancel_end::unknown_job);
+        return;
+    }
+    if (!item->ended()) {
+        m_model.endJob(*item, job_state::cancelled, wall);
+    }
+    settle(now);
+    m_writer.whenDurable(
+        [this, id, done](instant then) {
+            done(cancel_end::cancelled);
+            stopRuns(id, then);
+        },
+        now);
+}
+
+void job_manager::queryState(const std::string &id, std::function<void(std::optional<job_state> state)> done, instant now)
+{
+    const job *item = m_model.find(id);
+    if (item == nullptr) {
+        done(std::nullopt);
+        return;
+    }
+    const job_state state = item->state();
+    if (state == job_state::queued || state == job_state::running) {
+        done(state);
+        return;
+    }
+    settle(now);
+    m_writer.whenDurable([done, state](instant) { done(state); }, now);
+}
+
+int job_manager::pendingJobs(const std::string &queue) const
+{
+    return static_cast<int>(std::count_if(m_model.live().begin(), m_model.live().end(), [&](const std::string &id) {
+        const job &item = m_model.jobs().at(id);
+        return item.request().queue == queue && !item.hasStarted();
+    }));
+}
+
+void job_manager::stopRuns(const std::string &id, instant now)
+{
+    job *item = m_model.find(id);
+    if (item == nullptr) {
+        return;
+    }
+    for (const auto &[number, occurrence] : item->occurrences()) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                if (occurrence.steps[step][index].phase == task_phase::assigned) {
+                    m_runs.stop({ id, number, static_cast<int>(step), static_cast<int>(index) }, now);
+                }
+            }
+        }
+    }
+}
+
+void job_manager::tick(instant now, wall_ms wall)
+{
+    m_wall = wall;
+    if (m_lost) {
+        return;
+    }
+    for (const std::string &id : m_model.live()) {
+        job *item = m_model.find(id);
+        if (item->isTimed() && item->openDueOccurrences(wall)) {
+            m_model.touch(id);
+            m_scheduleNeeded = true;
+        }
+    }
+    if (!m_resigned) {
+        m_hosts.tick(now);
+    }
+    m_runs.tick(now);
+    if (now - m_lastForget > FORGET_INTERVAL) {
+        m_lastForget = now;
+        // Avoided workers come back by time alone, which no event tells.
+        m_scheduleNeeded = true;
+        forgetOld(wall);
+    }
+    settle(now);
+}
+
+void job_manager::forgetOld(wall_ms wall)
+{
+    std::vector<std::string> old;
+    const auto kept = static_cast<wall_ms>(duration_cast<milliseconds>(m_model.bounds().statusKept).count());
+    for (const auto &[id, item] : m_model.jobs()) {
+        if (item.ended() && item.endedAt() + kept < wall && !item.hasAssigned()) {
+            old.push_back(id);
+        }
+    }
+    for (const std::string &id : old) {
+        m_model.drop(id);
+        m_writer.put({ ledgerKey(ledger_kind::job, id), std::nullopt });
+    }
+}
+
+void job_manager::onProgress(instant now)
+{
+    m_scheduleNeeded = true;
+    settle(now);
+}
+
+void job_manager::whenDurable(std::function<void(instant now)> call, instant now)
+{
+    writeChanged();
+    m_writer.whenDurable(std::move(call), now);
+}
+
+void job_manager::settle(instant now)
+{
+    if (m_lost) {
+        return;
+    }
+    // Starts have to be recorded first, so nothing is gained by deciding while an append is on its way.
+    if (m_scheduleNeeded && !m_resigned && !m_writer.appending()) {
+        schedule(now);
+    }
+    writeChanged();
+    m_writer.flush(now);
+}
+
+void job_manager::schedule(instant now)
+{
+    m_scheduleNeeded = false;
+    if (!m_model.configured()) {
+        return;
+    }
+    const schedule_result result = m_scheduler.decide(m_model, m_advice, now, m_wall);
+    for (const advice_question &question : result.questions) {
+        ask(question);
+    }
+    if (result.placements.empty()) {
+        return;
+    }
+    writeChanged();
+    m_writer.whenDurable(
+        [this, placements = result.placements](instant then) {
+            for (const placement &item : placements) {
+                m_log.write("start",
+                            { { "task", item.task.text() }, { "run", std::to_string(item.run) }, { "worker", item.worker } });
+                m_runs.start(item, then);
+            }
+        },
+        now);
+}
+
+void job_manager::writeChanged()
+{
+    for (const std::string &id : m_model.takeChanged()) {
+        const job *item = m_model.find(id);
+        if (item != nullptr) {
+            m_writer.put({ ledgerKey(ledger_kind::job, id), item->toImage().SerializeAsString() });
+        }
+        if (item != nullptr && item->ended()) {
+            m_log.write("job-changed", { { "job", id }, { "state", std::string(nameOf(item->state())) } });
+        }
+        if (item != nullptr && item->state() == job_state::failed) {
+            m_clock.after(milliseconds(0), m_lifetime.guard([this, id](instant now) { stopRuns(id, now); }));
+        }
+    }
+    for (const auto &[number, image] : m_hosts.takeChanged()) {
+        m_writer.put({ ledgerKey(ledger_kind::wave, std::to_string(number)), image.SerializeAsString() });
+    }
+}
+
+void job_manager::ask(const advice_question &question)
+{
+    m_advice.noteAsked(question.step);
+    m_gateways.advice.ask(question.step, question.workers,
+                          m_lifetime.guard([this, question](const advice_result &result, instant now) {
+                              m_advice.noteAnswer(question, result, m_model.workers(), now);
+                              onProgress(now);
+                          }));
+}
+
+void job_manager::onBadTicket(const task_key &key, const std::string &workerId)
+{
+    m_advice.dropTicket(key.job + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step), workerId);
+}
+
+wall_ms job_manager::wallNow() const
+{
+    return m_wall;
+}
+
+void job_manager::onFenced(instant now)
+{
+    if (!m_lost) {
+        m_lost = true;
+        m_onLost(now);
+    }
+}
+
+void job_manager::resign(std::function<void(instant now)> done, instant now)
+{
+    m_resigned = true;
+    settle(now);
+    m_writer.whenDurable(std::move(done), now);
+}
+
+void job_manager::renewOwnership(const ledger_entry &record, instant now)
+{
+    m_writer.put(record);
+    m_writer.flush(now);
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/src/placement.cpp
@@ -0,0 +1,81 @@
+#include <jujubespool/jobs/placement.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace jujubespool {
+
+namespace {
+
+// Smaller is better, part by part.
+using preference = std::tuple<bool, bool, std::int64_t, std::int64_t>;
+
+std::int64_t lastingRuns(const worker &target, bool fills)
+{
+    return std::count_if(target.runs.begin(), target.runs.end(),
+                         [fills](const auto &item) { return item.second.fills == fills && item.second.target.count() > 0; });
+}
+
+std::int64_t fillingRuns(const worker &target)
+{
+    return std::count_if(target.runs.begin(), target.runs.end(), [](const auto &item) { return item.second.fills; });
+}
+
+preference preferenceFor(const worker &target, const placement_request &request)
+{
+    const step_spec &step = *request.step;
+    const bool failedHere = target.report.id == request.avoid;
+    const bool farFromData = !step.dataRack.empty() && target.rack() != step.dataRack;
+    const std::int64_t room = target.room().cpuMillis;
+    if (step.fills) {
+        return { failedHere, farFromData, lastingRuns(target, false) + fillingRuns(target), -room };
+    }
+    if (step.longRunning) {
+        return { failedHere, farFromData, lastingRuns(target, false) + fillingRuns(target), -room };
+    }
+    return { failedHere, farFromData, 0, room };
+}
+
+} // namespace
+
+bool mayTake(const worker &target, instant now)
+{
+    return target.listed && target.report.state == worker_state::ready && target.looked && target.clockKnown && !target.cordoned
+        && now >= target.avoidUntil;
+}
+
+bool fitsEver(const worker &target, const step_spec &step)
+{
+    const bool labelled = step.requiredLabel.empty() || target.hasLabel(step.requiredLabel);
+    resources need = step.each;
+    need.cpuMillis = step.fills ? 0 : need.cpuMillis;
+    return labelled && need.fitsIn(target.report.capacity);
+}
+
+worker *chooseWorker(worker_book &workers, const placement_request &request, instant now)
+{
+    const step_spec &step = *request.step;
+    resources need = step.each;
+    need.cpuMillis = step.fills ? 0 : need.cpuMillis;
+    worker *best = nullptr;
+    preference bestPreference;
+    for (auto &[id, target] : workers.all()) {
+        if (target.report.pool != request.pool || !mayTake(target, now) || !need.fitsIn(target.room()) || !fitsEver(target, step)) {
+            continue;
+        }
+        const bool wrongRack = !request.rack.empty() && target.rack() != request.rack;
+        const task_key &task = request.task;
+        const bool crowded = step.maxPerWorker > 0 && target.tasksOf(task.job, task.occurrence, task.step) >= step.maxPerWorker;
+        if (wrongRack || crowded || (request.permitted && !request.permitted(target))) {
+            continue;
+        }
+        const preference candidate = preferenceFor(target, request);
+        if (best == nullptr || candidate < bestPreference) {
+            best = &target;
+            bestPreference = candidate;
+        }
+    }
+    return best;
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -0,0 +1,244 @@
+#include <jujubespool/jobs/run_scheduler.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <jujubespool/jobs/placement.h>
+#include <tuple>
+
+namespace jujubespool {
+
+namespace {
+
+// Workers that one question to the policy service names at most.
+constexpr std::size_t WORKERS_ASKED = 30;
+// Questions that may wait at the policy service at once.
+constexpr std::size_t MAX_QUESTIONS = 8;
+constexpr std::int64_t MILLIS_PER_CORE = 1000;
+
+std::string stepText(const task_key &key)
+{
+    return fmt::format("{}.{}.{}", key.job, key.occurrence, key.step);
+}
+
+// One pass over the waiting tasks.
+class pass
+{
+public:
+    pass(fleet_model &model, const advice_book &advice, instant now, schedule_result &result)
+        : m_model(model)
+        , m_advice(advice)
+        , m_now(now)
+        , m_result(result)
+    {
+    }
+
+    void schedule(job &item, const queue_config &queue)
+    {
+        for (auto &[number, occurrence] : item.occurrences()) {
+            for (int step = 0; !occurrence.ended && step < static_cast<int>(occurrence.steps.size()); ++step) {
+                if (occurrence.open[static_cast<std::size_t>(step)] > 0 && item.stepReady(occurrence, step)) {
+                    scheduleStep(item, queue, { item.request().id, number, step, 0 });
+                }
+            }
+        }
+    }
+
+private:
+    void scheduleStep(job &item, const queue_config &queue, task_key first)
+    {
+        const step_spec &step = item.step(first.step);
+        std::vector<task_key> waiting;
+        for (task_key key = first; key.index < step.count; ++key.index) {
+            if (item.task(key)->phase == task_phase::waiting) {
+                waiting.push_back(key);
+            }
+        }
+        if (waiting.empty()) {
+            return;
+        }
+        if (queue.advice && !askWhereNeeded(queue, waiting.front(), step)) {
+            return;
+        }
+        if (step.gang) {
+            placeGang(item, queue, waiting);
+            return;
+        }
+        for (const task_key &key : waiting) {
+            if (!placeOne(item, queue, key, 0, {})) {
+                break;
+            }
+        }
+    }
+
+    // Returns false when nothing can be placed before the policy service has answered.
+    bool askWhereNeeded(const queue_config &queue, const task_key &key, const step_spec &step)
+    {
+        const std::string text = stepText(key);
+        advice_question question{ text, {}, queue.advice->validity };
+        bool ticketed = false;
+        for (const auto &[id, target] : m_model.workers().all()) {
+            if (target.report.pool != queue.pool || !mayTake(target, m_now) || !fitsEver(target, step)) {
+                continue;
+            }
+            if (m_advice.ticketFor(text, target, m_now) != nullptr) {
+                ticketed = true;
+            } else if (!m_advice.refused(text, id) && question.workers.size() < WORKERS_ASKED) {
+                question.workers.push_back(id);
+            }
+        }
+        const bool mayAsk = m_advice.callsInFlight() + m_result.questions.size() < MAX_QUESTIONS;
+        if (!ticketed && !question.workers.empty() && !m_advice.asking(text) && mayAsk) {
+            m_result.questions.push_back(std::move(question));
+        }
+        return ticketed;
+    }
+
+    placement_request requestFor(const job &item, const queue_config &queue, const task_key &key) const
+    {
+        const step_spec &step = item.step(key.step);
+        placement_request request{ key, &step, queue.pool, {}, {}, {} };
+        const auto &tasks = item.occurrences().at(key.occurrence).steps[static_cast<std::size_t>(key.step)];
+        const task_progress &task = tasks[static_cast<std::size_t>(key.index)];
+        if (task.failures > 0 || step.longRunning) {
+            request.avoid = task.worker;
+        }
+        if (queue.advice) {
+            request.permitted = [this, text = stepText(key)](const worker &target) {
+                return m_advice.ticketFor(text, target, m_now) != nullptr;
+            };
+        }
+        return request;
+    }
+
+    bool placeOne(job &item, const queue_config &queue, const task_key &key, int run, const std::string &rack)
+    {
+        const step_spec &step = item.step(key.step);
+        const auto team = m_model.config().teams.find(item.request().team);
+        if (team != m_model.config().teams.end() && !m_model.usage().allows(team->second, fleet_model::needOf(step))) {
+            return false;
+        }
+        placement_request request = requestFor(item, queue, key);
+        request.rack = rack;
+        worker *target = chooseWorker(m_model.workers(), request, m_now);
+        if (target == nullptr) {
+            return false;
+        }
+        std::string ticket;
+        if (queue.advice) {
+            ticket = *m_advice.ticketFor(stepText(key), *target, m_now);
+        }
+        const int placedRun = m_model.place(key, *target, m_now, run);
+        m_result.placements.push_back({ key, placedRun, target->report.id, ticket });
+        return true;
+    }
+
+    // Places all tasks as one run, or none.
+    void placeGang(job &item, const queue_config &queue, const std::vector<task_key> &waiting)
+    {
+        const step_spec &step = item.step(waiting.front().step);
+        if (static_cast<int>(waiting.size()) < step.count) {
+            return;
+        }
+        int run = 0;
+        for (const task_key &key : waiting) {
+            run = std::max(run, item.task(key)->run + 1);
+        }
+        for (const std::string &rack : gangRacks(step, queue)) {
+            const std::size_t before = m_result.placements.size();
+            const bool all = std::all_of(waiting.begin(), waiting.end(),
+                                         [&](const task_key &key) { return placeOne(item, queue, key, run, rack); });
+            if (all) {
+                return;
+            }
+            while (m_result.placements.size() > before) {
+                undo(item, m_result.placements.back().task);
+                m_result.placements.pop_back();
+            }
+        }
+    }
+
+    void undo(job &item, const task_key &key)
+    {
+        const int run = item.task(key)->run;
+        m_model.release(key);
+        item.task(key)->run = run - 1;
+    }
+
+    // Racks to try for a gang that should stay on one, the unrestricted choice last.
+    std::vector<std::string> gangRacks(const step_spec &step, const queue_config &queue) const
+    {
+        std::vector<std::string> racks;
+        if (step.sameRack) {
+            std::set<std::string> seen;
+            for (const auto &[id, target] : m_model.workers().all()) {
+                if (target.report.pool == queue.pool && seen.insert(target.rack()).second) {
+                    racks.push_back(target.rack());
+                }
+            }
+        }
+        racks.emplace_back();
+        return racks;
+    }
+
+    fleet_model &m_model;
+    const advice_book &m_advice;
+    instant m_now;
+    schedule_result &m_result;
+};
+
+} // namespace
+
+bool job_rank::operator<(const job_rank &other) const
+{
+    return std::tie(priority, beyondShare, late, coreSecondsLeft, id)
+        < std::tie(other.priority, other.beyondShare, other.late, other.coreSecondsLeft, other.id);
+}
+
+job_rank rankOf(const job &item, const queue_config &queue, wall_ms wall)
+{
+    job_rank rank{ queue.priority, false, false, 0, item.request().id };
+    const std::vector<step_spec> &steps = item.request().steps;
+    if (item.isLongRunning()) {
+        return rank;
+    }
+    milliseconds left{ 0 };
+    milliseconds whole{ 0 };
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        whole = std::max(whole, remainingChain(steps, static_cast<int>(step)));
+    }
+    for (const auto &[number, occurrence] : item.occurrences()) {
+        for (std::size_t step = 0; !occurrence.ended && step < steps.size(); ++step) {
+            const int open = occurrence.open[step];
+            const double cores = static_cast<double>(steps[step].each.cpuMillis) / MILLIS_PER_CORE;
+            rank.coreSecondsLeft += open * cores * static_cast<double>(steps[step].estimated.count()) / 1e3;
+            if (open > 0) {
+                left = std::max(left, remainingChain(steps, static_cast<int>(step)));
+            }
+        }
+    }
+    const double objectiveMs = queue.stretch * static_cast<double>(whole.count()) + static_cast<double>(queue.targetLatency.count());
+    const double ageMs = static_cast<double>(wall) - static_cast<double>(item.acceptedAt());
+    rank.late = !item.isTimed() && ageMs + static_cast<double>(left.count()) > objectiveMs;
+    return rank;
+}
+
+schedule_result run_scheduler::decide(fleet_model &model, const advice_book &advice, instant now, wall_ms wall) const
+{
+    schedule_result result;
+    std::vector<std::pair<job_rank, job *>> order;
+    for (const std::string &id : model.live()) {
+        job *item = model.find(id);
+        const queue_config *queue = model.queueOf(*item);
+        if (queue != nullptr) {
+            order.emplace_back(rankOf(*item, *queue, wall), item);
+        }
+    }
+    std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    pass scheduling(model, advice, now, result);
+    for (const auto &[rank, item] : order) {
+        scheduling.schedule(*item, *model.queueOf(*item));
+    }
+    return result;
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/include/jujubespool/manager/call_router.h
@@ -0,0 +1,52 @@
+// Takes callers' requests to the owner of the jobs, wherever it is.
+//
+//     call_router router(peers, log);
+//     router.handle(call, reply, now);        // at any process
+//     router.setOwner(incarnation, now);      // requests without an answer go to the new owner
+//
+// Requests name their job, so that one that is passed on twice still is one job. A request that was never passed
+// on is refused as not accepted; one that was passed on and has no answer is said to be unknown.
+#pragma once
+
+#include <jujubespool/manager/http_listener.h>
+#include <jujubespool/manager/peer_directory.h>
+
+namespace jujubespool {
+
+class call_router
+{
+public:
+    call_router(peer_directory &peers, decision_log &log);
+
+    // The local owner session, while there is one.
+    using local_handler = std::function<void(const http_call &call, instant now, const http_replier &reply)>;
+    void setLocal(local_handler local, instant now);
+    void clearLocal();
+    // The process that owns the jobs; 0 for none known.
+    void setOwner(std::uint64_t incarnation, instant now);
+    void handle(const http_call &call, const http_replier &reply, instant now);
+    void onForwarded(std::uint64_t from, const wire::forwarded_call &call, instant now);
+    void onReply(const wire::forwarded_reply &reply, instant now);
+    void tick(instant now);
+
+private:
+    struct pending_call
+    {
+        http_call call;
+        http_replier reply;
+        instant receivedAt;
+        instant sentAt;
+        bool passedOn = false;
+    };
+    void dispatch(std::uint64_t id, instant now);
+    void finish(std::uint64_t id, const http_reply &reply, instant now);
+
+    peer_directory &m_peers;
+    decision_log &m_log;
+    local_handler m_local;
+    std::uint64_t m_owner = 0;
+    std::uint64_t m_nextCall = 1;
+    std::map<std::uint64_t, pending_call> m_pending;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/include/jujubespool/manager/feed_follower.h
@@ -0,0 +1,66 @@
+// Follows one feed of the store: the newest entry of each key first, then every change.
+//
+//     feed_follower follower(reader, clock, feed::operators, wait, log);
+//     follower.start([](const ledger_entry &entry, instant now) { ... }, now);
+//
+// When the store no longer has the changes, the newest entries are read again, and keys that are gone are
+// reported as entries without a value.
+#pragma once
+
+#include <jujubespool/jobs/clock.h>
+#include <jujubespool/jobs/gateways.h>
+#include <jujubespool/jobs/lifetime.h>
+#include <set>
+
+namespace jujubespool {
+
+struct follow_pace
+{
+    // How long the store may hold a read until something changes.
+    milliseconds wait{ 0 };
+    // Pause between two reads.
+    milliseconds pause{ 0 };
+};
+
+class feed_follower
+{
+public:
+    using entry_callback = std::function<void(const ledger_entry &entry, instant now)>;
+    feed_follower(feed_reader &reader, scheduler_clock &clock, feed which, follow_pace pace, decision_log &log);
+
+    // Calls back for each entry. `caught` is called each time when everything that was there has been read.
+    void start(entry_callback entry, std::function<void(instant now)> caught);
+    void stop();
+    bool caughtUp() const
+    {
+        return m_caughtUp;
+    }
+    std::uint64_t offset() const
+    {
+        return m_offset;
+    }
+
+private:
+    void readNewest(const std::string &after);
+    void onNewest(const feed_page &page, bool first, instant now);
+    void readNext();
+    void onRead(const feed_page &page, instant now);
+    void noteAnswer(const feed_page &page);
+
+    feed_reader &m_reader;
+    scheduler_clock &m_clock;
+    feed m_which;
+    follow_pace m_pace;
+    decision_log &m_log;
+    entry_callback m_entry;
+    std::function<void(instant now)> m_caught;
+    std::uint64_t m_offset = 0;
+    bool m_caughtUp = false;
+    bool m_stopped = false;
+    bool m_answered = true;
+    std::set<std::string> m_keys;
+    std::set<std::string> m_keysSeen;
+    lifetime m_lifetime;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -0,0 +1,92 @@
+// A manager process: serves callers, finds its peers and owns the jobs when it is its turn.
+//
+//     manager_process process(loop, settings, clients, log, figures);
+//     failure reason;
+//     if (process.start(reason)) { loop.run(); }
+#pragma once
+
+#include <jujubespool/entry/event_loop.h>
+#include <jujubespool/jobs/owner_election.h>
+#include <jujubespool/manager/call_router.h>
+#include <jujubespool/manager/owner_session.h>
+#include <jujubespool/manager/process_log.h>
+#include <jujubespool/wire/peer_link.h>
+
+namespace jujubespool {
+
+// The event loop's timers as the deciding parts use them.
+class loop_clock : public scheduler_clock
+{
+public:
+    explicit loop_clock(event_loop &loop)
+        : m_loop(loop)
+    {
+    }
+    void after(milliseconds delay, std::function<void(instant now)> call) override
+    {
+        m_loop.after(delay, [this, call = std::move(call)] { call(m_loop.now()); });
+    }
+
+private:
+    event_loop &m_loop;
+};
+
+class manager_process : private peer_receiver
+{
+public:
+    manager_process(event_loop &loop, const manager_settings &settings, const platform_clients &clients, process_log &log,
+                    metrics &figures);
+    ~manager_process() override;
+
+    bool start(failure &reason);
+    // Hands over what this process owns, answers what it has taken, and ends the loop.
+    void stopGracefully();
+
+private:
+    void onPeerMessage(const wire::peer_message &message) override;
+    void onBeat(std::uint64_t from, const wire::member_beat &beat, instant now);
+    bool listen(failure &reason);
+    void join();
+    void tick();
+    void beat(instant now);
+    void elect(instant now);
+    void readLedgerEnd();
+    void beginClaim(instant now);
+    void onSessionEvent(session_event event, instant now);
+    void dropSession(instant now);
+    void finishStop(instant now);
+    bool owns() const
+    {
+        return m_session && m_session->active();
+    }
+
+    event_loop &m_loop;
+    manager_settings m_settings;
+    platform_clients m_clients;
+    process_log &m_log;
+    metrics &m_figures;
+    loop_clock m_clock;
+    process_identity m_identity;
+    peer_link m_link;
+    peer_directory m_peers;
+    call_router m_router;
+    owner_election m_election;
+    feed_follower m_members;
+    http_listener m_callers;
+    http_listener m_ready;
+    http_listener m_metricsListener;
+    std::unique_ptr<owner_session> m_session;
+    std::uint64_t m_ledgerOffset = 0;
+    bool m_ledgerKnown = false;
+    bool m_ledgerResigned = false;
+    bool m_readingLedger = false;
+    std::uint64_t m_ownerSeen = 0;
+    instant m_lastBeat;
+    bool m_stopping = false;
+    bool m_handedOver = false;
+    instant m_stopAt;
+    instant m_stopBegan;
+    lifetime m_lifetime;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -0,0 +1,96 @@
+// One ownership of the jobs: reads what the store holds, claims the ledger and then manages the jobs.
+//
+//     owner_session session(clients, clock, log, settings, identity);
+//     session.begin([](session_event event, instant now) { ... });
+//     session.handle(call, now, wall, reply);
+//
+// A session is used once. It ends when another owner takes over or when it resigns.
+#pragma once
+
+#include <jujubespool/manager/caller_desk.h>
+#include <jujubespool/manager/feed_follower.h>
+#include <jujubespool/manager/manager_settings.h>
+#include <jujubespool/manager/platform_clients.h>
+
+namespace jujubespool {
+
+struct process_identity
+{
+    std::string node;
+    // Drawn at each start of the process.
+    std::uint64_t incarnation = 0;
+};
+
+enum class session_event { claimed, claim_failed, lost };
+
+template <> struct enum_names<session_event>
+{
+    static constexpr std::array<std::string_view, 3> NAMES{ "claimed", "claim-failed", "lost" };
+};
+
+class owner_session
+{
+public:
+    using event_callback = std::function<void(session_event event, instant now)>;
+    owner_session(const platform_clients &clients, scheduler_clock &clock, decision_log &log, const manager_settings &settings,
+                  const process_identity &identity, std::function<wall_ms()> wallClock);
+
+    void begin(event_callback onEvent);
+    bool active() const
+    {
+        return m_active;
+    }
+    std::uint64_t epoch() const
+    {
+        return m_epoch;
+    }
+    void handle(const http_call &call, instant now, const http_replier &reply);
+    void tick(instant now);
+    // Hands the ownership back. Calls back once that is recorded.
+    void resign(std::function<void(instant now)> done, instant now);
+    duration storeSilentFor(instant now) const;
+    const job_manager *manager() const
+    {
+        return m_manager.get();
+    }
+
+private:
+    void onFeedsRead(instant now);
+    void readLedger(const std::string &after);
+    void readLedgerTail();
+    void applyLedger(const feed_page &page);
+    void claim();
+    void onClaim(const append_outcome &outcome, instant now);
+    void activate(instant now);
+    void fail(const std::string &why, instant now);
+    void applyOperatorEntry(const ledger_entry &entry, instant now);
+    void applyWorkerEntry(const ledger_entry &entry, instant now);
+    ledger_entry ownerEntry(bool resigned) const;
+
+    platform_clients m_clients;
+    scheduler_clock &m_clock;
+    decision_log &m_log;
+    manager_settings m_settings;
+    process_identity m_identity;
+    std::function<wall_ms()> m_wallClock;
+    event_callback m_onEvent;
+    feed_follower m_operators;
+    feed_follower m_workers;
+    std::map<std::string, std::string> m_ledger;
+    std::uint64_t m_ledgerEnd = 0;
+    bool m_ledgerStarted = false;
+    std::uint64_t m_epoch = 0;
+    int m_claimAttempts = 0;
+    bool m_active = false;
+    bool m_ended = false;
+    bool m_resigning = false;
+    instant m_lastRenewal;
+    std::shared_ptr<const fleet_config> m_config;
+    std::map<std::uint64_t, upkeep_wave> m_waves;
+    std::map<std::string, worker_report> m_reports;
+    std::unique_ptr<job_manager> m_manager;
+    std::unique_ptr<caller_desk> m_desk;
+    lifetime m_lifetime;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/include/jujubespool/manager/peer_directory.h
@@ -0,0 +1,44 @@
+// The other processes of the system: where they are, whether they are heard, and who owns the jobs.
+//
+//     peer_directory peers(link, identity);
+//     peers.noteMember(image, now);
+//     peers.broadcast(message);
+#pragma once
+
+#include <jujubespool/jobs/gateways.h>
+#include <jujubespool/wire/peer_transport.h>
+
+namespace jujubespool {
+
+class peer_directory
+{
+public:
+    peer_directory(peer_transport &link, std::uint64_t self, decision_log &log);
+
+    // A process has appeared, or has started again under the same name.
+    void noteMember(const std::string &node, const wire::member_image &image);
+    void dropMember(const std::string &node);
+    void noteHeard(std::uint64_t incarnation, instant now);
+    void broadcast(wire::peer_message message);
+    bool send(std::uint64_t incarnation, wire::peer_message message);
+    // Place of this process in the order in which processes claim the ownership, among those that are heard.
+    int rank(instant now) const;
+    // The process best suited to own the jobs next; 0 if none is heard.
+    std::uint64_t successor(instant now) const;
+
+private:
+    struct member
+    {
+        wire::member_image image;
+        instant heardAt;
+        bool heard = false;
+    };
+    static bool suitsBetter(const wire::member_image &left, const wire::member_image &right);
+
+    peer_transport &m_link;
+    std::uint64_t m_self;
+    decision_log &m_log;
+    std::map<std::string, member> m_members;
+};
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/src/call_router.cpp
@@ -0,0 +1,154 @@
+#include <jujubespool/manager/call_router.h>
+
+namespace jujubespool {
+
+namespace {
+
+// Without an owner, a request waits this long for one before it is refused.
+constexpr milliseconds OWNER_WAIT{ 1000 };
+// A request that was passed on and has no answer is passed on again, and given up in the end.
+constexpr milliseconds REPEAT_INTERVAL{ 700 };
+constexpr milliseconds GIVE_UP{ 2600 };
+constexpr unsigned RETRY_AFTER_S = 1;
+constexpr int STATUS_UNAVAILABLE = 503;
+constexpr int STATUS_TIMEOUT = 504;
+
+} // namespace
+
+call_router::call_router(peer_directory &peers, decision_log &log)
+    : m_peers(peers)
+    , m_log(log)
+{
+}
+
+void call_router::setLocal(local_handler local, instant now)
+{
+    m_local = std::move(local);
+    m_owner = 0;
+    std::vector<std::uint64_t> waiting;
+    for (const auto &[id, item] : m_pending) {
+        waiting.push_back(id);
+    }
+    for (const std::uint64_t id : waiting) {
+        dispatch(id, now);
+    }
+}
+
+void call_router::clearLocal()
+{
+    m_local = nullptr;
+}
+
+void call_router::setOwner(std::uint64_t incarnation, instant now)
+{
+    if (m_owner == incarnation) {
+        return;
+    }
+    m_owner = incarnation;
+    for (auto &[id, item] : m_pending) {
+        dispatch(id, now);
+    }
+}
+
+void call_router::handle(const http_call &call, const http_replier &reply, instant now)
+{
+    const std::uint64_t id = m_nextCall++;
+    m_pending[id] = { call, reply, now, now, false };
+    dispatch(id, now);
+}
+
+void call_router::dispatch(std::uint64_t id, instant now)
+{
+    pending_call &item = m_pending.at(id);
+    if (m_local) {
+        item.passedOn = true;
+        item.sentAt = now;
+        m_local(http_call(item.call), now, [this, id, now](const http_reply &reply) { finish(id, reply, now); });
+        return;
+    }
+    if (m_owner == 0) {
+        return;
+    }
+    wire::peer_message message;
+    wire::forwarded_call &call = *message.mutable_call();
+    call.set_call(id);
+    call.set_method(item.call.method);
+    call.set_host(item.call.host);
+    call.set_path(item.call.path);
+    call.set_authorization(item.call.authorization);
+    call.set_body(item.call.body);
+    if (m_peers.send(m_owner, std::move(message))) {
+        item.passedOn = true;
+        item.sentAt = now;
+    }
+}
+
+void call_router::finish(std::uint64_t id, const http_reply &reply, instant)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const pending_call item = std::move(found->second);
+    m_pending.erase(found);
+    m_log.count("answers_total", std::to_string(reply.status));
+    item.reply(reply);
+}
+
+void call_router::onForwarded(std::uint64_t from, const wire::forwarded_call &call, instant now)
+{
+    const auto answer = [this, from, id = call.call()](const http_reply &reply) {
+        wire::peer_message message;
+        wire::forwarded_reply &body = *message.mutable_reply();
+        body.set_call(id);
+        body.set_status(static_cast<std::uint32_t>(reply.status));
+        body.set_body(reply.body);
+        body.set_retry_after_s(reply.retryAfterS);
+        m_peers.send(from, std::move(message));
+    };
+    if (m_local) {
+        m_local({ call.method(), call.host(), call.path(), call.authorization(), call.body() }, now, answer);
+        return;
+    }
+    wire::peer_message message;
+    message.mutable_reply()->set_call(call.call());
+    message.mutable_reply()->set_not_owner(true);
+    m_peers.send(from, std::move(message));
+}
+
+void call_router::onReply(const wire::forwarded_reply &reply, instant now)
+{
+    if (reply.not_owner()) {
+        // The next owner's beat brings the request there.
+        return;
+    }
+    finish(reply.call(), { static_cast<int>(reply.status()), reply.body(), "application/json", reply.retry_after_s() }, now);
+}
+
+void call_router::tick(instant now)
+{
+    std::vector<std::uint64_t> repeated;
+    std::vector<std::uint64_t> refused;
+    for (const auto &[id, item] : m_pending) {
+        if (now - item.receivedAt >= GIVE_UP || (!item.passedOn && now - item.receivedAt >= OWNER_WAIT)) {
+            refused.push_back(id);
+        } else if (!m_local && (!item.passedOn || now - item.sentAt >= REPEAT_INTERVAL)) {
+            repeated.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : repeated) {
+        dispatch(id, now);
+    }
+    for (const std::uint64_t id : refused) {
+        const pending_call &item = m_pending.at(id);
+        const int status = item.passedOn && item.call.method != "GET" ? STATUS_TIMEOUT : STATUS_UNAVAILABLE;
+        m_log.write("unanswered",
+                    { { "call", item.call.method + " " + item.call.path },
+                      { "passed_on", item.passedOn ? "yes" : "no" },
+                      { "status", std::to_string(status) },
+                      { "waited_ms", std::to_string(duration_cast<milliseconds>(now - item.receivedAt).count()) } });
+        finish(id, { status, "{}", "application/json", RETRY_AFTER_S }, now);
+    }
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/src/feed_follower.cpp
@@ -0,0 +1,120 @@
+#include <jujubespool/manager/feed_follower.h>
+
+#include <algorithm>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr milliseconds RETRY_DELAY{ 250 };
+
+} // namespace
+
+feed_follower::feed_follower(feed_reader &reader, scheduler_clock &clock, feed which, follow_pace pace, decision_log &log)
+    : m_reader(reader)
+    , m_clock(clock)
+    , m_which(which)
+    , m_pace(pace)
+    , m_log(log)
+{
+}
+
+void feed_follower::start(entry_callback entry, std::function<void(instant now)> caught)
+{
+    m_entry = std::move(entry);
+    m_caught = std::move(caught);
+    readNewest({});
+}
+
+void feed_follower::stop()
+{
+    m_stopped = true;
+}
+
+void feed_follower::noteAnswer(const feed_page &page)
+{
+    const bool answered = page.answered || page.historyLost;
+    if (answered != m_answered) {
+        m_answered = answered;
+        m_log.write(answered ? "feed-regained" : "feed-lost",
+                    { { "feed", std::string(nameOf(m_which)) }, { "offset", std::to_string(m_offset) }, { "reason", page.reason.reason } });
+    }
+}
+
+void feed_follower::readNewest(const std::string &after)
+{
+    m_reader.newest(m_which, after, m_lifetime.guard([this, first = after.empty()](const feed_page &page, instant now) {
+                        if (!m_stopped) {
+                            onNewest(page, first, now);
+                        }
+                    }));
+}
+
+void feed_follower::onNewest(const feed_page &page, bool first, instant now)
+{
+    noteAnswer(page);
+    if (!page.answered) {
+        m_clock.after(RETRY_DELAY, m_lifetime.guard([this](instant) { readNewest({}); }));
+        return;
+    }
+    if (first) {
+        // Later pages may show later changes; reading on from the first page's end misses none.
+        m_offset = page.end;
+        m_keysSeen.clear();
+    }
+    for (const ledger_entry &entry : page.entries) {
+        m_keysSeen.insert(entry.key);
+        m_entry(entry, now);
+    }
+    if (page.continueAfter) {
+        readNewest(*page.continueAfter);
+        return;
+    }
+    for (const std::string &key : std::exchange(m_keys, m_keysSeen)) {
+        if (m_keysSeen.count(key) == 0) {
+            m_entry({ key, std::nullopt }, now);
+        }
+    }
+    m_caughtUp = true;
+    m_caught(now);
+    readNext();
+}
+
+void feed_follower::readNext()
+{
+    m_reader.read(m_which, m_offset, m_pace.wait, m_lifetime.guard([this](const feed_page &page, instant now) {
+                      if (!m_stopped) {
+                          onRead(page, now);
+                      }
+                  }));
+}
+
+void feed_follower::onRead(const feed_page &page, instant now)
+{
+    noteAnswer(page);
+    if (page.historyLost) {
+        readNewest({});
+        return;
+    }
+    if (!page.answered) {
+        m_clock.after(RETRY_DELAY, m_lifetime.guard([this](instant) { readNext(); }));
+        return;
+    }
+    m_offset = page.next;
+    for (const ledger_entry &entry : page.entries) {
+        if (entry.value) {
+            m_keys.insert(entry.key);
+        } else {
+            m_keys.erase(entry.key);
+        }
+        m_entry(entry, now);
+    }
+    m_caught(now);
+    if (m_pace.pause.count() > 0) {
+        m_clock.after(m_pace.pause, m_lifetime.guard([this](instant) { readNext(); }));
+    } else {
+        readNext();
+    }
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/src/manager_process.cpp
@@ -0,0 +1,313 @@
+#include <jujubespool/manager/manager_process.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <jujubespool/entry/logger.h>
+#include <jujubespool/jobs/ledger_keys.h>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr milliseconds TICK_INTERVAL{ 25 };
+constexpr milliseconds OWNER_BEAT_INTERVAL{ 100 };
+constexpr milliseconds MEMBER_BEAT_INTERVAL{ 500 };
+constexpr follow_pace MEMBERS_PACE{ milliseconds(10000), milliseconds(0) };
+constexpr milliseconds JOIN_RETRY_DELAY{ 300 };
+// The balancer needs about two seconds to send no more callers here.
+constexpr milliseconds STOP_LEAST{ 2600 };
+constexpr milliseconds STOP_LONGEST{ 5000 };
+constexpr int STATUS_OK = 200;
+constexpr int STATUS_UNAVAILABLE = 503;
+
+} // namespace
+
+manager_process::manager_process(event_loop &loop, const manager_settings &settings, const platform_clients &clients, process_log &log,
+                                 metrics &figures)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_clients(clients)
+    , m_log(log)
+    , m_figures(figures)
+    , m_clock(loop)
+    , m_identity{ settings.node, loop.randomNumber() }
+    , m_link(loop.base())
+    , m_peers(m_link, m_identity.incarnation, log)
+    , m_router(m_peers, log)
+    , m_members(clients.feeds, m_clock, feed::members, MEMBERS_PACE, log)
+    , m_callers(loop.base())
+    , m_ready(loop.base())
+    , m_metricsListener(loop.base())
+{
+}
+
+manager_process::~manager_process() = default;
+
+bool manager_process::start(failure &reason)
+{
+    bufferLog();
+    reason = { step::peer, m_settings.ip, {} };
+    m_link.setReceiver(*this);
+    if (!m_link.bind(fmt::format("tcp://{}:{}", m_settings.ip, m_settings.peerPort), reason.reason) || !listen(reason)) {
+        return false;
+    }
+    join();
+    m_members.start(
+        [this](const ledger_entry &entry, instant) {
+            wire::member_image image;
+            if (entry.value && image.ParseFromString(*entry.value)) {
+                m_peers.noteMember(entry.key, image);
+            } else if (!entry.value) {
+                m_peers.dropMember(entry.key);
+            }
+        },
+        [](instant) {});
+    m_loop.repeat(TICK_INTERVAL, [this] { tick(); });
+    m_log.write("started",
+                { { "node", m_settings.node },
+                  { "incarnation", std::to_string(m_identity.incarnation) },
+                  { "callers", m_settings.callerAddress },
+                  { "version", JUJUBESPOOL_VERSION } });
+    return true;
+}
+
+bool manager_process::listen(failure &reason)
+{
+    const auto serveCallers = [this](const http_call &call, http_replier reply) {
+        const auto answer = [this, reply = std::move(reply)](const http_reply &result) {
+            http_reply last = result;
+            last.close = m_stopping;
+            reply(last);
+        };
+        m_router.handle(call, answer, m_loop.now());
+    };
+    const auto serveReady = [this](const http_call &, const http_replier &reply) {
+        reply({ m_stopping ? STATUS_UNAVAILABLE : STATUS_OK, "{}" });
+    };
+    const auto serveMetrics = [this](const http_call &, const http_replier &reply) {
+        reply({ STATUS_OK, m_figures.text(), "text/plain" });
+    };
+    const std::string metricsAddress = fmt::format("{}:{}", m_settings.ip, m_settings.metricsPort);
+    return m_callers.listen(m_settings.callerAddress, serveCallers, reason) && m_ready.listen(m_settings.readyAddress, serveReady, reason)
+        && (m_settings.metricsPort == 0 || m_metricsListener.listen(metricsAddress, serveMetrics, reason));
+}
+
+void manager_process::join()
+{
+    wire::member_image image;
+    image.set_node(m_settings.node);
+    image.set_incarnation(m_identity.incarnation);
+    image.set_endpoint(fmt::format("tcp://{}:{}", m_settings.ip, m_settings.peerPort));
+    image.set_started_ms(m_loop.wallNow());
+    image.set_cpu_share_percent(m_settings.cpuSharePercent);
+    const ledger_entry entry{ m_settings.node, image.SerializeAsString() };
+    m_clients.feeds.put(feed::members, entry, m_lifetime.guard([this](const append_outcome &outcome, instant) {
+                            if (outcome.end != append_end::done) {
+                                m_clock.after(JOIN_RETRY_DELAY, m_lifetime.guard([this](instant) { join(); }));
+                            }
+                        }));
+}
+
+void manager_process::tick()
+{
+    const instant now = m_loop.now();
+    if (m_session) {
+        m_session->tick(now);
+    }
+    beat(now);
+    if (!m_stopping) {
+        elect(now);
+    }
+    m_router.tick(now);
+    m_log.tick(now);
+    if (m_stopping) {
+        finishStop(now);
+    }
+}
+
+void manager_process::beat(instant now)
+{
+    if (now - m_lastBeat < (owns() ? OWNER_BEAT_INTERVAL : MEMBER_BEAT_INTERVAL)) {
+        return;
+    }
+    m_lastBeat = now;
+    wire::peer_message message;
+    wire::member_beat &body = *message.mutable_member();
+    if (owns() && !m_stopping) {
+        body.set_epoch(m_session->epoch());
+        body.set_owner_incarnation(m_identity.incarnation);
+        body.set_store_silent_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(m_session->storeSilentFor(now)).count()));
+    } else {
+        body.set_epoch(m_election.epoch());
+        body.set_suspects_owner(!m_stopping && m_election.suspects(now));
+    }
+    m_peers.broadcast(message);
+}
+
+void manager_process::onPeerMessage(const wire::peer_message &message)
+{
+    const instant now = m_loop.now();
+    m_peers.noteHeard(message.from_session(), now);
+    switch (message.body_case()) {
+    case wire::peer_message::kMember:
+        onBeat(message.from_session(), message.member(), now);
+        break;
+    case wire::peer_message::kHandover:
+        m_election.noteHandover(now);
+        break;
+    case wire::peer_message::kCall:
+        m_router.onForwarded(message.from_session(), message.call(), now);
+        break;
+    case wire::peer_message::kReply:
+        m_router.onReply(message.reply(), now);
+        break;
+    default:
+        break;
+    }
+}
+
+void manager_process::onBeat(std::uint64_t from, const wire::member_beat &beat, instant now)
+{
+    m_election.notePeer(from, beat.suspects_owner(), now);
+    if (beat.owner_incarnation() == 0) {
+        return;
+    }
+    if (owns() && beat.epoch() > m_session->epoch()) {
+        onSessionEvent(session_event::lost, now);
+    }
+    if (owns() || beat.epoch() < m_election.epoch()) {
+        return;
+    }
+    m_election.noteBeat(beat.epoch(), milliseconds(beat.store_silent_ms()), now);
+    if (m_ownerSeen != beat.owner_incarnation()) {
+        m_ownerSeen = beat.owner_incarnation();
+        m_log.write("owner-known", { { "epoch", std::to_string(beat.epoch()) }, { "incarnation", std::to_string(m_ownerSeen) } });
+    }
+    m_router.setOwner(m_ownerSeen, now);
+}
+
+void manager_process::elect(instant now)
+{
+    if (m_session) {
+        return;
+    }
+    if (!m_election.hearsOwner(now)) {
+        m_router.setOwner(0, now);
+    }
+    m_election.setRank(m_peers.rank(now));
+    switch (m_election.next(now)) {
+    case election_action::none:
+        break;
+    case election_action::read_ledger:
+        readLedgerEnd();
+        break;
+    case election_action::claim:
+        beginClaim(now);
+        break;
+    }
+}
+
+void manager_process::readLedgerEnd()
+{
+    if (m_readingLedger) {
+        return;
+    }
+    m_readingLedger = true;
+    const auto apply = [this](const feed_page &page, instant now) {
+        m_readingLedger = false;
+        if (page.historyLost || (page.answered && page.end < m_ledgerOffset)) {
+            m_ledgerOffset = 0;
+            m_ledgerKnown = false;
+            return;
+        }
+        if (!page.answered) {
+            return;
+        }
+        for (const ledger_entry &entry : page.entries) {
+            wire::owner_image image;
+            if (parseLedgerKey(entry.key).kind == ledger_kind::owner && entry.value && image.ParseFromString(*entry.value)) {
+                m_ledgerKnown = true;
+                m_ledgerResigned = image.resigned();
+            }
+        }
+        m_ledgerOffset = page.next;
+        m_election.noteLedger(page.end, m_ledgerResigned, m_ledgerKnown || page.end > 0, now);
+    };
+    if (m_ledgerOffset == 0) {
+        m_clients.feeds.newest(feed::ledger, ledgerKey(ledger_kind::owner, ""), m_lifetime.guard(apply));
+    } else {
+        m_clients.feeds.read(feed::ledger, m_ledgerOffset, milliseconds(0), m_lifetime.guard(apply));
+    }
+}
+
+void manager_process::beginClaim(instant now)
+{
+    m_log.write("claim-begun", { { "epoch_known", std::to_string(m_election.epoch()) }, { "rank", std::to_string(m_peers.rank(now)) } });
+    m_session = std::make_unique<owner_session>(m_clients, m_clock, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
+    m_session->begin([this](session_event event, instant then) { onSessionEvent(event, then); });
+}
+
+void manager_process::onSessionEvent(session_event event, instant now)
+{
+    m_log.write("ownership", { { "event", std::string(nameOf(event)) }, { "epoch", std::to_string(m_session->epoch()) } });
+    m_log.count("ownership_total", nameOf(event));
+    if (event == session_event::claimed) {
+        m_election.noteBeat(m_session->epoch(), milliseconds(0), now);
+        m_lastBeat = instant();
+        beat(now);
+        m_router.setLocal([this](const http_call &call, instant then, const http_replier &reply) { m_session->handle(call, then, reply); },
+                          now);
+        return;
+    }
+    m_election.noteLost(now);
+    dropSession(now);
+}
+
+void manager_process::dropSession(instant)
+{
+    m_router.clearLocal();
+    // The session is on the stack of its own callback; it ends after it.
+    m_loop.after(milliseconds(0), [session = std::shared_ptr<owner_session>(std::move(m_session))] {});
+}
+
+void manager_process::stopGracefully()
+{
+    if (m_stopping) {
+        return;
+    }
+    const instant now = m_loop.now();
+    m_log.write("stopping", { { "owns", owns() ? "yes" : "no" } });
+    m_stopping = true;
+    m_stopBegan = now;
+    if (!owns()) {
+        m_handedOver = true;
+        if (m_session) {
+            dropSession(now);
+        }
+        return;
+    }
+    m_session->resign(
+        [this](instant then) {
+            const std::uint64_t next = m_peers.successor(then);
+            wire::peer_message message;
+            message.mutable_handover()->set_epoch(m_session->epoch());
+            m_peers.send(next, std::move(message));
+            m_log.write("handed-over", { { "to", std::to_string(next) } });
+            m_handedOver = true;
+            dropSession(then);
+        },
+        now);
+}
+
+void manager_process::finishStop(instant now)
+{
+    const duration since = now - m_stopBegan;
+    const bool quiet = m_callers.openCalls() == 0 && m_handedOver && since >= STOP_LEAST;
+    if (quiet || since >= STOP_LONGEST) {
+        m_log.write("stopped", { { "open_calls", std::to_string(m_callers.openCalls()) } });
+        flushLog();
+        m_loop.stop();
+    }
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/src/owner_session.cpp
@@ -0,0 +1,244 @@
+#include <jujubespool/manager/owner_session.h>
+
+#include <algorithm>
+#include <jujubespool/jobs/ledger_keys.h>
+#include <jujubespool/jobs/owner_election.h>
+
+namespace jujubespool {
+
+namespace {
+
+// The operators' changes have to be in force within seconds; a longer wait would hide a silent connection.
+constexpr follow_pace OPERATORS_PACE{ milliseconds(700), milliseconds(0) };
+// Workers report many times a second, so that waiting for changes would mean a read for each.
+constexpr follow_pace WORKERS_PACE{ milliseconds(0), milliseconds(300) };
+constexpr milliseconds CLAIM_TIMEOUT{ 800 };
+constexpr int CLAIM_ATTEMPTS = 4;
+// Without a record for this long, an owner cannot know whether it still is the owner.
+constexpr milliseconds STALE_AFTER{ 2500 };
+constexpr int STATUS_UNAVAILABLE = 503;
+constexpr unsigned RETRY_AFTER_S = 1;
+const std::string OWNER_NAME = "current";
+
+} // namespace
+
+owner_session::owner_session(const platform_clients &clients, scheduler_clock &clock, decision_log &log, const manager_settings &settings,
+                             const process_identity &identity, std::function<wall_ms()> wallClock)
+    : m_clients(clients)
+    , m_clock(clock)
+    , m_log(log)
+    , m_settings(settings)
+    , m_identity(identity)
+    , m_wallClock(std::move(wallClock))
+    , m_operators(clients.feeds, clock, feed::operators, OPERATORS_PACE, log)
+    , m_workers(clients.feeds, clock, feed::workers, WORKERS_PACE, log)
+{
+}
+
+void owner_session::begin(event_callback onEvent)
+{
+    m_onEvent = std::move(onEvent);
+    m_operators.start([this](const ledger_entry &entry, instant now) { applyOperatorEntry(entry, now); },
+                      [this](instant now) { onFeedsRead(now); });
+    m_workers.start([this](const ledger_entry &entry, instant now) { applyWorkerEntry(entry, now); },
+                    [this](instant now) { onFeedsRead(now); });
+}
+
+void owner_session::applyOperatorEntry(const ledger_entry &entry, instant now)
+{
+    const operator_entry news = m_clients.codec.parseOperatorEntry(entry);
+    if (news.config && (!m_config || news.config->version > m_config->version)) {
+        m_config = news.config;
+        m_log.write("config-read",
+                    { { "version", std::to_string(m_config->version) },
+                      { "queues", std::to_string(m_config->queues.size()) },
+                      { "teams", std::to_string(m_config->teams.size()) } });
+        if (m_manager) {
+            m_manager->setConfig(m_config, now);
+        }
+    }
+    if (news.wave) {
+        m_waves[news.wave->number] = *news.wave;
+        if (m_manager) {
+            m_manager->onWave(*news.wave, now);
+        }
+    }
+}
+
+void owner_session::applyWorkerEntry(const ledger_entry &entry, instant now)
+{
+    const std::optional<worker_report> report = m_clients.codec.parseWorkerEntry(entry);
+    if (report) {
+        m_reports[entry.key] = *report;
+        if (m_manager) {
+            m_manager->onWorkerReport(*report, now);
+        }
+    } else if (!entry.value && m_reports.erase(entry.key) > 0 && m_manager) {
+        m_manager->onWorkerUnlisted(entry.key, now);
+    }
+}
+
+void owner_session::onFeedsRead(instant)
+{
+    if (!m_ledgerStarted && m_operators.caughtUp() && m_workers.caughtUp()) {
+        m_ledgerStarted = true;
+        readLedger({});
+    }
+}
+
+void owner_session::readLedger(const std::string &after)
+{
+    m_clients.feeds.newest(feed::ledger, after, m_lifetime.guard([this, first = after.empty()](const feed_page &page, instant now) {
+                               if (!page.answered) {
+                                   fail("the ledger cannot be read: " + page.reason.reason, now);
+                                   return;
+                               }
+                               if (first) {
+                                   m_ledgerEnd = page.end;
+                               }
+                               applyLedger(page);
+                               if (page.continueAfter) {
+                                   readLedger(*page.continueAfter);
+                               } else {
+                                   readLedgerTail();
+                               }
+                           }));
+}
+
+void owner_session::applyLedger(const feed_page &page)
+{
+    for (const ledger_entry &entry : page.entries) {
+        if (entry.value) {
+            m_ledger[entry.key] = *entry.value;
+        } else {
+            m_ledger.erase(entry.key);
+        }
+    }
+}
+
+void owner_session::readLedgerTail()
+{
+    m_clients.feeds.read(feed::ledger, m_ledgerEnd, milliseconds(0), m_lifetime.guard([this](const feed_page &page, instant now) {
+                             if (!page.answered) {
+                                 fail("the ledger cannot be read: " + page.reason.reason, now);
+                                 return;
+                             }
+                             applyLedger(page);
+                             m_ledgerEnd = page.next;
+                             if (page.next < page.end) {
+                                 readLedgerTail();
+                             } else {
+                                 claim();
+                             }
+                         }));
+}
+
+ledger_entry owner_session::ownerEntry(bool resigned) const
+{
+    wire::owner_image image;
+    image.set_node(m_identity.node);
+    image.set_incarnation(m_identity.incarnation);
+    image.set_epoch(m_epoch);
+    image.set_resigned(resigned);
+    return { ledgerKey(ledger_kind::owner, OWNER_NAME), image.SerializeAsString() };
+}
+
+void owner_session::claim()
+{
+    wire::owner_image before;
+    const auto known = m_ledger.find(ledgerKey(ledger_kind::owner, OWNER_NAME));
+    if (known != m_ledger.end() && !before.ParseFromString(known->second)) {
+        m_log.write("ledger-entry-unreadable", { { "key", known->first } });
+    }
+    m_epoch = before.epoch() + 1;
+    ++m_claimAttempts;
+    const ledger_append call{ m_epoch, CLAIM_SEQUENCE, m_ledgerEnd, { ownerEntry(false) }, CLAIM_TIMEOUT };
+    m_clients.ledger.append(call, m_lifetime.guard([this](const append_outcome &outcome, instant now) { onClaim(outcome, now); }));
+}
+
+void owner_session::onClaim(const append_outcome &outcome, instant now)
+{
+    if (outcome.end == append_end::done) {
+        activate(now);
+    } else if (outcome.end == append_end::unknown && m_claimAttempts < CLAIM_ATTEMPTS) {
+        // A repeat under the same number gets the first answer.
+        claim();
+    } else {
+        fail("claim " + std::string(nameOf(outcome.end)), now);
+    }
+}
+
+void owner_session::activate(instant now)
+{
+    m_active = true;
+    m_lastRenewal = now;
+    const manager_gateways gateways{ m_clients.ledger, m_clients.workers, m_clients.hosts, m_clients.advice, m_clients.status };
+    m_manager = std::make_unique<job_manager>(gateways, m_clock, m_log, m_settings.bounds, m_settings.node, m_epoch);
+    m_desk = std::make_unique<caller_desk>(*m_manager, m_clients.codec, m_log);
+    m_manager->onLost([this](instant then) {
+        m_active = false;
+        if (!m_ended) {
+            m_ended = true;
+            m_onEvent(session_event::lost, then);
+        }
+    });
+    for (const auto &[id, report] : m_reports) {
+        m_manager->onWorkerReport(report, now);
+    }
+    if (m_config) {
+        m_manager->setConfig(m_config, now);
+    }
+    for (const auto &[number, wave] : m_waves) {
+        m_manager->onWave(wave, now);
+    }
+    m_manager->restore(m_ledger, now, m_wallClock());
+    m_ledger.clear();
+    m_onEvent(session_event::claimed, now);
+}
+
+void owner_session::fail(const std::string &why, instant now)
+{
+    m_log.write("claim-failed", { { "epoch", std::to_string(m_epoch) }, { "ledger_end", std::to_string(m_ledgerEnd) }, { "reason", why } });
+    if (!m_ended) {
+        m_ended = true;
+        m_operators.stop();
+        m_workers.stop();
+        m_onEvent(session_event::claim_failed, now);
+    }
+}
+
+void owner_session::handle(const http_call &call, instant now, const http_replier &reply)
+{
+    if (now - m_manager->lastDurableAt() > STALE_AFTER) {
+        // Another owner may know better.
+        reply({ STATUS_UNAVAILABLE, m_clients.codec.errorBody("the store does not answer"), "application/json", RETRY_AFTER_S });
+        return;
+    }
+    m_desk->handle(call, now, m_wallClock(), reply);
+}
+
+void owner_session::tick(instant now)
+{
+    if (!m_active) {
+        return;
+    }
+    m_manager->tick(now, m_wallClock());
+    if (!m_resigning && now - m_lastRenewal >= OWNER_RENEWAL) {
+        m_lastRenewal = now;
+        m_manager->renewOwnership(ownerEntry(false), now);
+    }
+}
+
+void owner_session::resign(std::function<void(instant now)> done, instant now)
+{
+    m_resigning = true;
+    m_manager->renewOwnership(ownerEntry(true), now);
+    m_manager->resign(std::move(done), now);
+}
+
+duration owner_session::storeSilentFor(instant now) const
+{
+    return m_manager ? m_manager->storeSilentFor(now) : duration(0);
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/src/peer_directory.cpp
@@ -0,0 +1,100 @@
+#include <jujubespool/manager/peer_directory.h>
+
+#include <algorithm>
+#include <jujubespool/jobs/owner_election.h>
+#include <tuple>
+
+namespace jujubespool {
+
+peer_directory::peer_directory(peer_transport &link, std::uint64_t self, decision_log &log)
+    : m_link(link)
+    , m_self(self)
+    , m_log(log)
+{
+}
+
+void peer_directory::noteMember(const std::string &node, const wire::member_image &image)
+{
+    const auto found = m_members.find(node);
+    if (found != m_members.end() && found->second.image.incarnation() == image.incarnation()) {
+        return;
+    }
+    dropMember(node);
+    m_members[node].image = image;
+    if (image.incarnation() != m_self) {
+        m_link.connect(image.incarnation(), image.endpoint());
+        m_log.write("member-known", { { "node", node }, { "endpoint", image.endpoint() } });
+    }
+}
+
+void peer_directory::dropMember(const std::string &node)
+{
+    const auto found = m_members.find(node);
+    if (found != m_members.end()) {
+        m_link.disconnect(found->second.image.incarnation());
+        m_members.erase(found);
+    }
+}
+
+void peer_directory::noteHeard(std::uint64_t incarnation, instant now)
+{
+    for (auto &[node, entry] : m_members) {
+        if (entry.image.incarnation() == incarnation) {
+            entry.heardAt = now;
+            entry.heard = true;
+        }
+    }
+}
+
+void peer_directory::broadcast(wire::peer_message message)
+{
+    message.set_from_session(m_self);
+    for (const auto &[node, entry] : m_members) {
+        if (entry.image.incarnation() != m_self) {
+            m_link.send(entry.image.incarnation(), message);
+        }
+    }
+}
+
+bool peer_directory::send(std::uint64_t incarnation, wire::peer_message message)
+{
+    message.set_from_session(m_self);
+    message.set_to_session(incarnation);
+    return m_link.send(incarnation, message);
+}
+
+// Processes with more processor come first, then those that have started last: in a series of restarts they are
+// the last to be stopped again.
+bool peer_directory::suitsBetter(const wire::member_image &left, const wire::member_image &right)
+{
+    return std::make_tuple(left.cpu_share_percent(), left.started_ms(), left.incarnation())
+        > std::make_tuple(right.cpu_share_percent(), right.started_ms(), right.incarnation());
+}
+
+int peer_directory::rank(instant now) const
+{
+    const auto self = std::find_if(m_members.begin(), m_members.end(),
+                                   [this](const auto &item) { return item.second.image.incarnation() == m_self; });
+    if (self == m_members.end()) {
+        return static_cast<int>(m_members.size());
+    }
+    return static_cast<int>(std::count_if(m_members.begin(), m_members.end(), [&](const auto &item) {
+        const member &other = item.second;
+        const bool there = !other.heard || now - other.heardAt < PEER_SILENCE;
+        return other.image.incarnation() != m_self && there && suitsBetter(other.image, self->second.image);
+    }));
+}
+
+std::uint64_t peer_directory::successor(instant now) const
+{
+    const wire::member_image *best = nullptr;
+    for (const auto &[node, entry] : m_members) {
+        const bool heard = entry.heard && now - entry.heardAt < PEER_SILENCE && entry.image.incarnation() != m_self;
+        if (heard && (best == nullptr || suitsBetter(entry.image, *best))) {
+            best = &entry.image;
+        }
+    }
+    return best == nullptr ? 0 : best->incarnation();
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/src/process_log.cpp
@@ -0,0 +1,54 @@
+#include <jujubespool/manager/process_log.h>
+
+#include <jujubespool/entry/logger.h>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr int MAX_LINES_PER_S = 2000;
+
+} // namespace
+
+process_log::process_log(metrics &figures)
+    : m_figures(figures)
+{
+}
+
+void process_log::write(std::string_view event, std::initializer_list<field> fields)
+{
+    if (++m_linesThisSecond > MAX_LINES_PER_S) {
+        ++m_dropped;
+        return;
+    }
+    std::vector<log_field> copied;
+    copied.reserve(fields.size());
+    for (const field &item : fields) {
+        copied.push_back({ item.key, item.value });
+    }
+    logEvent(log_level::info, event, copied);
+}
+
+void process_log::count(std::string_view counter, std::string_view label)
+{
+    m_figures.count(std::string(counter), "kind", std::string(label));
+}
+
+void process_log::observe(std::string_view event, const std::string &team, duration time)
+{
+    m_figures.observe(std::string(event), team, time);
+}
+
+void process_log::tick(instant now)
+{
+    if (now - m_secondStart >= seconds(1)) {
+        m_secondStart = now;
+        m_linesThisSecond = 0;
+        if (m_dropped > 0) {
+            logEvent(log_level::warning, "log-lines-dropped", { { "lines", std::to_string(std::exchange(m_dropped, 0)) } });
+        }
+    }
+    flushLog();
+}
+
+} // namespace jujubespool
--- a/packages/wire/include/jujubespool/wire/peer_link.h
+++ b/packages/wire/include/jujubespool/wire/peer_link.h
@@ -37,7 +37,7 @@
     }
     void connect(std::uint64_t peer, const std::string &endpoint) override;
     void disconnect(std::uint64_t peer) override;
-    void send(std::uint64_t peer, const wire::peer_message &message) override;
+    bool send(std::uint64_t peer, const wire::peer_message &message) override;
 
     // While cut, nothing passes in either direction. For tests of partitions.
     void setCut(bool cut)
--- a/packages/wire/include/jujubespool/wire/peer_transport.h
+++ b/packages/wire/include/jujubespool/wire/peer_transport.h
@@ -29,7 +29,8 @@
     virtual void setReceiver(peer_receiver &receiver) = 0;
     virtual void connect(std::uint64_t peer, const std::string &endpoint) = 0;
     virtual void disconnect(std::uint64_t peer) = 0;
-    virtual void send(std::uint64_t peer, const wire::peer_message &message) = 0;
+    // Returns false when the message certainly was not sent.
+    virtual bool send(std::uint64_t peer, const wire::peer_message &message) = 0;
     virtual std::uint64_t sentBytes() const = 0;
 };
 
--- a/packages/wire/src/peer_link.cpp
+++ b/packages/wire/src/peer_link.cpp
@@ -8,6 +8,11 @@
 
 constexpr int MAX_QUEUED_MESSAGES = 4096;
 constexpr std::int64_t MAX_MESSAGE_BYTES = 16777216;
+constexpr int HEARTBEAT_INTERVAL_MS = 500;
+constexpr int HEARTBEAT_TIMEOUT_MS = 1200;
+constexpr int CONNECT_TIMEOUT_MS = 1000;
+constexpr int RECONNECT_INTERVAL_MS = 100;
+constexpr int LONGEST_RECONNECT_INTERVAL_MS = 1000;
 
 } // namespace
 
@@ -74,6 +79,12 @@
     outbound.set(zmq::sockopt::linger, 0);
     outbound.set(zmq::sockopt::sndhwm, MAX_QUEUED_MESSAGES);
     outbound.set(zmq::sockopt::immediate, true);
+    // A connection can go silent without an end; heartbeats of ZeroMQ's own find that out and connect again.
+    outbound.set(zmq::sockopt::heartbeat_ivl, HEARTBEAT_INTERVAL_MS);
+    outbound.set(zmq::sockopt::heartbeat_timeout, HEARTBEAT_TIMEOUT_MS);
+    outbound.set(zmq::sockopt::connect_timeout, CONNECT_TIMEOUT_MS);
+    outbound.set(zmq::sockopt::reconnect_ivl, RECONNECT_INTERVAL_MS);
+    outbound.set(zmq::sockopt::reconnect_ivl_max, LONGEST_RECONNECT_INTERVAL_MS);
     try {
         outbound.connect(endpoint);
     } catch (const zmq::error_t &) {
@@ -88,16 +99,18 @@
     m_sockets->outbound.erase(peer);
 }
 
-void peer_link::send(std::uint64_t peer, const wire::peer_message &message)
+bool peer_link::send(std::uint64_t peer, const wire::peer_message &message)
 {
     const auto found = m_sockets->outbound.find(peer);
     if (m_cut || found == m_sockets->outbound.end()) {
-        return;
+        return false;
     }
     const std::string bytes = message.SerializeAsString();
-    if (found->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
-        m_sentBytes += bytes.size();
+    if (!found->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+        return false;
     }
+    m_sentBytes += bytes.size();
+    return true;
 }
 
 } // namespace jujubespool
