Fence former owners of the jobs by time and claims by number

Cause: (1) two processes that claimed the same epoch with the same append number both got the first claim's answer, since the store answers repeats by (epoch, number): both owned. (2) An owner cut off from the store went on renewing leases while its successor took the runs for lapsed. (3) A 503 after an earlier pass to another owner denied a job that this one had accepted. Now: claims are numbered by incarnation; an owner without a record for 8 s renews and starts nothing, and its successor waits that long for workers it cannot reach; such a 503 is a 504. Ruled out: a wrong fence at the workers (starts carried different epochs or none).

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -32,6 +32,10 @@
     seconds statusKept{ 120 };
 };
 
+// An owner without a record for this long may have been replaced: it starts nothing and renews no lease. Its
+// successor waits that long too before it takes runs on workers that it cannot reach for lapsed.
+constexpr milliseconds SELF_FENCE{ 8000 };
+
 // A part of a worker clock's speed that it may lack against ours.
 constexpr double SLOWEST_WORKER_CLOCK = 0.98;
 
@@ -94,7 +98,7 @@
     // Assigns a waiting task as its next run, or as the given run for members of a gang.
     int place(const task_key &key, worker &target, instant now, int run = 0);
     // Counts a task that the ledger says is assigned, after a take-over.
-    void restorePlaced(const task_key &key, instant now);
+    void restorePlaced(const task_key &key, instant leaseEnd, instant now);
     // The run is certainly not at work any more and has not ended by itself.
     void release(const task_key &key);
     // Takes the end of a run into account. Returns false when it is not the task's current run there.
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -1,6 +1,6 @@
 // The owner of the jobs: accepts them, starts their tasks on workers and records every change first.
 //
-//     job_manager manager(gateways, clock, log, bounds, epoch);
+//     job_manager manager(gateways, clock, log, bounds, { "entry-1", epoch, sequence });
 //     manager.restore(entries, now, wall);
 //     manager.submit(request, [](submit_end end) { ... }, now, wall);
 //     manager.tick(now, wall);
@@ -27,14 +27,20 @@
 enum class submit_end { accepted, refused };
 enum class cancel_end { cancelled, unknown_job };
 
-// A first append of the epoch has claimed the ownership; the manager's own start after it.
-constexpr std::uint64_t CLAIM_SEQUENCE = 0;
+// The append that has claimed the ownership.
+struct ownership
+{
+    std::string holder;
+    std::uint64_t epoch = 0;
+    // Its number; the manager's own appends follow it.
+    std::uint64_t claimSequence = 0;
+};
 
 class job_manager : private run_listener
 {
 public:
     job_manager(const manager_gateways &gateways, scheduler_clock &clock, decision_log &log, const manager_bounds &bounds,
-                const std::string &holder, std::uint64_t epoch);
+                const ownership &owned);
 
     // Takes over what the ledger holds. The workers have been reported before.
     void restore(const std::map<std::string, std::string> &entries, instant now, wall_ms wall);
@@ -78,6 +84,7 @@
     void onFenced(instant now) override;
     void onBadTicket(const task_key &key, const std::string &workerId) override;
     wall_ms wallNow() const override;
+    bool ownsSurely(instant now) const override;
     void settle(instant now);
     void schedule(instant now);
     void writeChanged();
@@ -85,7 +92,7 @@
     void stopRuns(const std::string &id, instant now);
     void stopEnded(instant now);
     void forgetOld(wall_ms wall);
-    void restoreJob(const wire::job_image &image, instant now);
+    void restoreJob(const wire::job_image &image, instant leaseEnd, instant now);
 
     manager_gateways m_gateways;
     scheduler_clock &m_clock;
--- a/packages/jobs/include/jujubespool/jobs/run_supervisor.h
+++ b/packages/jobs/include/jujubespool/jobs/run_supervisor.h
@@ -27,6 +27,8 @@
     virtual void onFenced(instant now) = 0;
     virtual void onBadTicket(const task_key &key, const std::string &workerId) = 0;
     virtual wall_ms wallNow() const = 0;
+    // False when this process may have been replaced as the owner without knowing it.
+    virtual bool ownsSurely(instant now) const = 0;
 };
 
 class run_supervisor
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -102,7 +102,7 @@
     return task.run;
 }
 
-void fleet_model::restorePlaced(const task_key &key, instant now)
+void fleet_model::restorePlaced(const task_key &key, instant leaseEnd, instant now)
 {
     job &item = *find(key.job);
     task_progress &task = *item.task(key);
@@ -132,7 +132,7 @@
     placed.confirmedAt = now;
     placed.target = step.target;
     target->place(key, placed);
-    target->leaseEnd = now + leaseBound();
+    target->leaseEnd = leaseEnd;
     m_usage.add(item.request().team, placed.need);
 }
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -12,14 +12,14 @@
 } // namespace
 
 job_manager::job_manager(const manager_gateways &gateways, scheduler_clock &clock, decision_log &log, const manager_bounds &bounds,
-                         const std::string &holder, std::uint64_t epoch)
+                         const ownership &owned)
     : m_gateways(gateways)
     , m_clock(clock)
     , m_log(log)
     , m_model(bounds)
-    , m_writer(gateways.store, clock, log, epoch, CLAIM_SEQUENCE + 1)
-    , m_runs(m_model, gateways.workers, clock, log, epoch, *this)
-    , m_hosts(m_model, m_runs, gateways.hosts, gateways.status, log, holder, epoch)
+    , m_writer(gateways.store, clock, log, owned.epoch, owned.claimSequence + 1)
+    , m_runs(m_model, gateways.workers, clock, log, owned.epoch, *this)
+    , m_hosts(m_model, m_runs, gateways.hosts, gateways.status, log, owned.holder, owned.epoch)
 {
     m_writer.onFenced([this](instant now) { onFenced(now); });
 }
@@ -28,12 +28,18 @@
 {
     m_wall = wall;
     m_writer.noteDurable(now);
+    const auto owner = std::find_if(entries.begin(), entries.end(),
+                                    [](const auto &item) { return parseLedgerKey(item.first).kind == ledger_kind::owner; });
+    wire::owner_image former;
+    const bool resigned = owner != entries.end() && former.ParseFromString(owner->second) && former.resigned();
+    // A former owner that was cut off may have renewed leases for a while after its last record.
+    const instant leaseEnd = now + m_model.leaseBound() + (resigned ? milliseconds(0) : SELF_FENCE);
     for (const auto &[key, value] : entries) {
         const ledger_key parsed = parseLedgerKey(key);
         wire::job_image image;
         wire::upkeep_image upkeep;
         if (parsed.kind == ledger_kind::job && image.ParseFromString(value)) {
-            restoreJob(image, now);
+            restoreJob(image, leaseEnd, now);
         } else if (parsed.kind == ledger_kind::wave && upkeep.ParseFromString(value)) {
             m_hosts.restore(std::stoull(parsed.name), upkeep);
         }
@@ -47,7 +53,7 @@
     settle(now);
 }
 
-void job_manager::restoreJob(const wire::job_image &image, instant now)
+void job_manager::restoreJob(const wire::job_image &image, instant leaseEnd, instant now)
 {
     std::optional<job> parsed = job::fromImage(image);
     if (!parsed) {
@@ -66,7 +72,7 @@
         }
     }
     for (const task_key &key : assigned) {
-        m_model.restorePlaced(key, now);
+        m_model.restorePlaced(key, leaseEnd, now);
     }
 }
 
@@ -117,11 +123,12 @@
 void job_manager::submit(const job_request &request, std::function<void(submit_end end)> done, instant now, wall_ms wall)
 {
     m_wall = wall;
-    if (m_resigned || m_lost) {
+    const bool known = m_model.find(request.id) != nullptr;
+    if ((m_resigned || m_lost) && !known) {
         done(submit_end::refused);
         return;
     }
-    if (m_model.find(request.id) == nullptr) {
+    if (!known) {
         job &item = m_model.add(job::accept(request, wall));
         item.openDueOccurrences(wall);
         m_model.touch(request.id);
@@ -317,6 +324,11 @@
     m_advice.dropTicket(key.job + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step), workerId);
 }
 
+bool job_manager::ownsSurely(instant now) const
+{
+    return now - m_writer.lastDurableAt() < SELF_FENCE;
+}
+
 wall_ms job_manager::wallNow() const
 {
     return m_wall;
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -103,7 +103,7 @@
     if (run == nullptr || run->confirmed || run->stopping) {
         return;
     }
-    if (owner->ended()) {
+    if (owner->ended() || !m_listener.ownsSurely(now)) {
         if (attempt.attempts == 0) {
             m_model.release(item.task);
             m_listener.onProgress(now);
@@ -306,7 +306,7 @@
     order.fencingToken = m_token;
     order.recordedEnds = target.endsRecorded;
     // A worker that is silent is not given more time blindly.
-    if (target.clockKnown && target.unansweredInRow == 0 && !target.runs.empty()) {
+    if (target.clockKnown && target.unansweredInRow == 0 && !target.runs.empty() && m_listener.ownsSurely(now)) {
         order.untilMs = leaseUntil(target, now);
     }
     const bool unconfirmed = std::any_of(target.runs.begin(), target.runs.end(), [](const auto &item) { return item.second.stopping; });
@@ -341,7 +341,11 @@
         target->avoidStep = milliseconds(0);
     }
     noteClock(*target, { order_end::accepted, result.clockMs, {} }, now);
-    target->looked = true;
+    if (!target->looked) {
+        // From now on only our own renewals count there.
+        target->leaseEnd = std::min(target->leaseEnd, now + m_model.leaseBound());
+        target->looked = true;
+    }
     reconcile(*target, sentAt, result, now);
 }
 
--- a/packages/manager/include/jujubespool/manager/call_router.h
+++ b/packages/manager/include/jujubespool/manager/call_router.h
@@ -36,7 +36,8 @@
         http_replier reply;
         instant receivedAt;
         instant sentAt;
-        bool passedOn = false;
+        // How often the call went to an owner.
+        int passes = 0;
     };
     void dispatch(std::uint64_t id, instant now);
     void finish(std::uint64_t id, const http_reply &reply, instant now);
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -59,6 +59,7 @@
     void readLedger(const std::string &after);
     void readLedgerTail();
     void applyLedger(const feed_page &page);
+    std::uint64_t claimSequence() const;
     void claim();
     void onClaim(const append_outcome &outcome, instant now);
     void activate(instant now);
--- a/packages/manager/src/call_router.cpp
+++ b/packages/manager/src/call_router.cpp
@@ -53,7 +53,7 @@
 void call_router::handle(const http_call &call, const http_replier &reply, instant now)
 {
     const std::uint64_t id = m_nextCall++;
-    m_pending[id] = { call, reply, now, now, false };
+    m_pending[id] = { call, reply, now, now, 0 };
     dispatch(id, now);
 }
 
@@ -61,7 +61,7 @@
 {
     pending_call &item = m_pending.at(id);
     if (m_local) {
-        item.passedOn = true;
+        ++item.passes;
         item.sentAt = now;
         m_local(http_call(item.call), now, [this, id, now](const http_reply &reply) { finish(id, reply, now); });
         return;
@@ -78,7 +78,7 @@
     call.set_authorization(item.call.authorization);
     call.set_body(item.call.body);
     if (m_peers.send(m_owner, std::move(message))) {
-        item.passedOn = true;
+        ++item.passes;
         item.sentAt = now;
     }
 }
@@ -91,8 +91,13 @@
     }
     const pending_call item = std::move(found->second);
     m_pending.erase(found);
-    m_log.count("answers_total", std::to_string(reply.status));
-    item.reply(reply);
+    http_reply answer = reply;
+    if (item.passes > 1 && answer.status == STATUS_UNAVAILABLE && item.call.method != "GET") {
+        // An owner that got the call before may have accepted it.
+        answer.status = STATUS_TIMEOUT;
+    }
+    m_log.count("answers_total", std::to_string(answer.status));
+    item.reply(answer);
 }
 
 void call_router::onForwarded(std::uint64_t from, const wire::forwarded_call &call, instant now)
@@ -130,9 +135,9 @@
     std::vector<std::uint64_t> repeated;
     std::vector<std::uint64_t> refused;
     for (const auto &[id, item] : m_pending) {
-        if (now - item.receivedAt >= GIVE_UP || (!item.passedOn && now - item.receivedAt >= OWNER_WAIT)) {
+        if (now - item.receivedAt >= GIVE_UP || (item.passes == 0 && now - item.receivedAt >= OWNER_WAIT)) {
             refused.push_back(id);
-        } else if (!m_local && (!item.passedOn || now - item.sentAt >= REPEAT_INTERVAL)) {
+        } else if (!m_local && (item.passes == 0 || now - item.sentAt >= REPEAT_INTERVAL)) {
             repeated.push_back(id);
         }
     }
@@ -141,10 +146,10 @@
     }
     for (const std::uint64_t id : refused) {
         const pending_call &item = m_pending.at(id);
-        const int status = item.passedOn && item.call.method != "GET" ? STATUS_TIMEOUT : STATUS_UNAVAILABLE;
+        const int status = item.passes > 0 && item.call.method != "GET" ? STATUS_TIMEOUT : STATUS_UNAVAILABLE;
         m_log.write("unanswered",
                     { { "call", item.call.method + " " + item.call.path },
-                      { "passed_on", item.passedOn ? "yes" : "no" },
+                      { "passed_on", item.passes > 0 ? "yes" : "no" },
                       { "status", std::to_string(status) },
                       { "waited_ms", std::to_string(duration_cast<milliseconds>(now - item.receivedAt).count()) } });
         finish(id, { status, "{}", "application/json", RETRY_AFTER_S }, now);
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds STALE_AFTER{ 2500 };
 constexpr int STATUS_UNAVAILABLE = 503;
 constexpr unsigned RETRY_AFTER_S = 1;
+constexpr std::uint64_t CLAIM_SEQUENCES = 1ULL << 40;
 const std::string OWNER_NAME = "current";
 
 } // namespace
@@ -143,6 +144,13 @@
     return { ledgerKey(ledger_kind::owner, OWNER_NAME), image.SerializeAsString() };
 }
 
+// The store answers a repeat of an append with the first answer, and knows it by epoch and number alone. So two
+// processes that claim the same epoch must not use the same number.
+std::uint64_t owner_session::claimSequence() const
+{
+    return m_identity.incarnation % CLAIM_SEQUENCES;
+}
+
 void owner_session::claim()
 {
     wire::owner_image before;
@@ -152,7 +160,7 @@
     }
     m_epoch = before.epoch() + 1;
     ++m_claimAttempts;
-    const ledger_append call{ m_epoch, CLAIM_SEQUENCE, m_ledgerEnd, { ownerEntry(false) }, CLAIM_TIMEOUT };
+    const ledger_append call{ m_epoch, claimSequence(), m_ledgerEnd, { ownerEntry(false) }, CLAIM_TIMEOUT };
     m_clients.ledger.append(call, m_lifetime.guard([this](const append_outcome &outcome, instant now) { onClaim(outcome, now); }));
 }
 
@@ -173,7 +181,8 @@
     m_active = true;
     m_lastRenewal = now;
     const manager_gateways gateways{ m_clients.ledger, m_clients.workers, m_clients.hosts, m_clients.advice, m_clients.status };
-    m_manager = std::make_unique<job_manager>(gateways, m_clock, m_log, m_settings.bounds, m_settings.node, m_epoch);
+    m_manager = std::make_unique<job_manager>(gateways, m_clock, m_log, m_settings.bounds,
+                                              ownership{ m_settings.node, m_epoch, claimSequence() });
     m_desk = std::make_unique<caller_desk>(*m_manager, m_clients.codec, m_log);
     m_manager->onLost([this](instant then) {
         m_active = false;
--- /dev/null
+++ b/packages/manager/test/fake_platform.cpp
@@ -0,0 +1,434 @@
+#include "fake_platform.h"
+
+#include <algorithm>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr milliseconds LATENCY{ 2 };
+constexpr milliseconds NO_ANSWER{ 400 };
+constexpr wall_ms FIRST_WALL = 1800000000000;
+constexpr std::size_t KEPT_ANSWERS = 5;
+
+} // namespace
+
+// The clients of one process, with the links that a test can harm.
+struct fake_process : ledger_store, feed_reader, worker_gateway, host_gateway, advice_gateway, status_board, caller_codec
+{
+    fake_process(fake_platform &owner)
+        : platform(owner)
+    {
+    }
+
+    template <typename Answer, typename Done> void answer(milliseconds delay, Answer result, Done done)
+    {
+        platform.after(delay, [result, done](instant now) { done(result, now); });
+    }
+
+    // ledger_store
+    void append(const ledger_append &call, std::function<void(const append_outcome &, instant now)> done) override
+    {
+        if (links.storeDown) {
+            answer(NO_ANSWER, append_outcome{ append_end::unknown, 0, {} }, done);
+            return;
+        }
+        platform.after(LATENCY, [this, call, done](instant) {
+            const append_outcome outcome = platform.append(call);
+            ++links.appends;
+            if (links.storeAnswersLost) {
+                answer(NO_ANSWER, append_outcome{ append_end::unknown, 0, {} }, done);
+            } else {
+                answer(LATENCY, outcome, done);
+            }
+        });
+    }
+
+    // feed_reader
+    void newest(feed which, const std::string &, page_callback done) override
+    {
+        platform.after(LATENCY, [this, which, done](instant) { answer(LATENCY, links.storeDown ? feed_page() : platform.newest(which), done); });
+    }
+    void read(feed which, std::uint64_t from, milliseconds wait, page_callback done) override
+    {
+        platform.after(LATENCY + wait / 10, [this, which, from, done](instant) {
+            answer(LATENCY, links.storeDown ? feed_page() : platform.read(which, from), done);
+        });
+    }
+    void put(feed which, const ledger_entry &entry, std::function<void(const append_outcome &, instant now)> done) override
+    {
+        platform.m_feeds[which].push_back({ entry.key, entry.value });
+        answer(LATENCY, append_outcome{ append_end::done, 0, {} }, done);
+    }
+
+    // worker_gateway
+    bool reachable(const std::string &worker) const
+    {
+        return links.unreachableWorkers.count(worker) == 0 && platform.m_workers.at(worker).alive;
+    }
+    template <typename Order, typename Act> void order(const Order &call, Act act, worker_gateway::order_callback done)
+    {
+        const bool late = std::is_same_v<Order, start_order> && links.startsLate.count() > 0;
+        if (!reachable(call.worker.id) || late) {
+            if (late) {
+                platform.after(links.startsLate, [this, call, act](instant) { act(platform.m_workers.at(call.worker.id), call); });
+            }
+            answer(NO_ANSWER, order_result{ order_end::unknown, std::nullopt, {} }, done);
+            return;
+        }
+        platform.after(LATENCY, [this, call, act, done](instant) { answer(LATENCY, act(platform.m_workers.at(call.worker.id), call), done); });
+    }
+    std::int64_t clockOf(const fake_worker &target) const
+    {
+        return duration_cast<milliseconds>(platform.now().time_since_epoch()).count() + static_cast<std::int64_t>(target.report.id.size()) * 1000;
+    }
+    void start(const start_order &call, worker_gateway::order_callback done) override
+    {
+        order(call, [this](fake_worker &target, const start_order &item) {
+            order_result result = platform.startOn(target, item);
+            result.clockMs = clockOf(target);
+            return result;
+        }, done);
+    }
+    void stop(const stop_order &call, worker_gateway::order_callback done) override
+    {
+        order(call, [this](fake_worker &target, const stop_order &item) {
+            if (item.fencingToken < target.fence) {
+                return order_result{ order_end::fenced, clockOf(target), {} };
+            }
+            target.highestOver[item.task] = std::max(target.highestOver[item.task], item.run);
+            const auto found = target.running.find(item.task);
+            if (found != target.running.end() && found->second.run == item.run) {
+                platform.endRun(target, item.task, run_end::stopped);
+            }
+            return order_result{ order_end::accepted, clockOf(target), {} };
+        }, done);
+    }
+    void pace(const pace_order &call, worker_gateway::order_callback done) override
+    {
+        order(call, [this](fake_worker &target, const pace_order &) { return order_result{ order_end::accepted, clockOf(target), {} }; }, done);
+    }
+    void look(const look_order &call, std::function<void(const look_result &, instant now)> done) override
+    {
+        if (!reachable(call.worker.id)) {
+            answer(NO_ANSWER, look_result(), done);
+            return;
+        }
+        platform.after(LATENCY, [this, call, done](instant) { lookNow(call, done, platform.now() + call.wait); });
+    }
+    void lookNow(const look_order &call, const std::function<void(const look_result &, instant now)> &done, instant waitUntil)
+    {
+        fake_worker &target = platform.m_workers.at(call.worker.id);
+        look_result result;
+        result.born = target.report.born;
+        result.clockMs = clockOf(target);
+        if (call.fencingToken < target.fence) {
+            result.end = order_end::fenced;
+            answer(LATENCY, result, done);
+            return;
+        }
+        target.fence = call.fencingToken;
+        if (call.untilMs) {
+            target.until = std::max(target.until, platform.now() + milliseconds(*call.untilMs - clockOf(target)));
+        }
+        for (const finished_run &item : target.finished) {
+            if (item.number <= call.recordedEnds && item.end == run_end::done) {
+                platform.m_doneNoted.insert(item.task);
+            }
+        }
+        std::erase_if(target.finished, [&](const finished_run &item) { return item.number <= call.recordedEnds; });
+        if (target.finished.empty() && platform.now() < waitUntil) {
+            platform.after(milliseconds(5), [this, call, done, waitUntil](instant) { lookNow(call, done, waitUntil); });
+            return;
+        }
+        result.end = order_end::accepted;
+        for (const auto &[key, run] : target.running) {
+            result.running.push_back({ key, run.run, {}, 100, 0 });
+        }
+        result.finished = target.finished;
+        answer(LATENCY, result, done);
+    }
+
+    // host_gateway, advice_gateway, status_board
+    void list(std::function<void(const host_list &, instant now)> done) override
+    {
+        answer(LATENCY, host_list{ std::vector<host_entry>(), {} }, done);
+    }
+    void move(const host_order &, const std::string &, host_gateway::order_callback done) override
+    {
+        answer(LATENCY, host_order_result{ host_order_end::done, {} }, done);
+    }
+    void upkeep(const host_order &, std::uint64_t, host_gateway::order_callback done) override
+    {
+        answer(LATENCY, host_order_result{ host_order_end::done, {} }, done);
+    }
+    void ask(const std::string &, const std::vector<std::string> &, std::function<void(const advice_result &, instant now)> done) override
+    {
+        answer(LATENCY, advice_result(), done);
+    }
+    void showWave(std::uint64_t, bool, std::function<void(bool written, instant now)> done) override
+    {
+        answer(LATENCY, true, done);
+    }
+
+    // caller_codec: a body is the number of tasks.
+    job_parse parseJob(const std::string &body) const override
+    {
+        job_request request;
+        step_spec step;
+        step.count = std::stoi(body);
+        step.each = { 1000, 1000, 0 };
+        step.estimated = milliseconds(200);
+        request.steps.push_back(step);
+        return { request, {} };
+    }
+    std::string stateBody(job_state state) const override
+    {
+        return std::string(nameOf(state));
+    }
+    std::string pendingBody(int pending) const override
+    {
+        return std::to_string(pending);
+    }
+    std::string errorBody(const std::string &reason) const override
+    {
+        return reason;
+    }
+    std::string keyOf(const std::string &authorization) const override
+    {
+        return authorization;
+    }
+    operator_entry parseOperatorEntry(const ledger_entry &) const override
+    {
+        return { platform.m_config, std::nullopt };
+    }
+    std::optional<worker_report> parseWorkerEntry(const ledger_entry &entry) const override
+    {
+        return entry.value ? std::optional(platform.m_workers.at(entry.key).report) : std::nullopt;
+    }
+
+    fake_platform &platform;
+    fake_links links;
+};
+
+fake_platform::fake_platform()
+    : runTime([](const task_key &) { return milliseconds(200); })
+    , m_now(seconds(1000))
+{
+}
+
+fake_platform::~fake_platform() = default;
+
+wall_ms fake_platform::wall() const
+{
+    return FIRST_WALL + static_cast<wall_ms>(duration_cast<milliseconds>(m_now.time_since_epoch()).count());
+}
+
+void fake_platform::after(milliseconds delay, std::function<void(instant now)> call)
+{
+    m_events.push({ m_now + delay, m_order++, std::move(call) });
+}
+
+void fake_platform::advance(milliseconds time)
+{
+    const instant end = m_now + time;
+    while (!m_events.empty() && m_events.top().at <= end) {
+        const event_entry next = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, next.at);
+        lapse();
+        finishDue();
+        next.call(m_now);
+    }
+    m_now = end;
+    lapse();
+    finishDue();
+}
+
+fake_worker &fake_platform::addWorker(const std::string &id, const std::string &pool, const resources &capacity)
+{
+    fake_worker &target = m_workers[id];
+    target.report = { id, id + ":1", pool, "a", worker_state::ready, capacity, { "kind", "r1" }, 1, {} };
+    m_feeds[feed::workers].push_back({ id, "listed" });
+    return target;
+}
+
+void fake_platform::restartWorker(const std::string &id)
+{
+    fake_worker &target = m_workers.at(id);
+    for (const auto &[key, run] : target.running) {
+        m_runningOn[key].erase(id);
+    }
+    worker_report report = target.report;
+    ++report.born;
+    target = fake_worker();
+    target.report = report;
+    m_feeds[feed::workers].push_back({ id, "listed" });
+}
+
+void fake_platform::unlistWorker(const std::string &id)
+{
+    m_feeds[feed::workers].push_back({ id, std::nullopt });
+}
+
+void fake_platform::setConfig(const fleet_config &config)
+{
+    m_config = std::make_shared<fleet_config>(config);
+    m_feeds[feed::operators].push_back({ "config", "new" });
+}
+
+platform_clients fake_platform::clientsOf(const std::string &process)
+{
+    std::unique_ptr<fake_process> &entry = m_processes[process];
+    if (!entry) {
+        entry = std::make_unique<fake_process>(*this);
+    }
+    return { *entry, *entry, *entry, *entry, *entry, *entry, *entry };
+}
+
+fake_links &fake_platform::linksOf(const std::string &process)
+{
+    clientsOf(process);
+    return m_processes.at(process)->links;
+}
+
+std::size_t fake_platform::runningTasks() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, target] : m_workers) {
+        count += target.running.size();
+    }
+    return count;
+}
+
+append_outcome fake_platform::append(const ledger_append &call)
+{
+    std::vector<kept_record> &log = m_feeds[feed::ledger];
+    const auto number = std::make_pair(call.epoch, call.sequence);
+    const auto repeated
+        = std::find_if(m_lastAppends.begin(), m_lastAppends.end(), [&](const auto &item) { return item.first == number; });
+    if (repeated != m_lastAppends.end()) {
+        return repeated->second;
+    }
+    if (call.epoch < m_epoch || (call.epoch == m_epoch && call.sequence != m_sequence + 1)) {
+        return { append_end::fenced, 0, {} };
+    }
+    if (call.expectedEnd && *call.expectedEnd != log.size()) {
+        return { append_end::moved, log.size(), {} };
+    }
+    m_epoch = call.epoch;
+    m_sequence = call.sequence;
+    for (const ledger_entry &entry : call.entries) {
+        log.push_back({ entry.key, entry.value });
+    }
+    const append_outcome outcome{ append_end::done, log.size(), {} };
+    m_lastAppends.emplace_back(number, outcome);
+    if (m_lastAppends.size() > KEPT_ANSWERS) {
+        m_lastAppends.pop_front();
+    }
+    return outcome;
+}
+
+feed_page fake_platform::newest(feed which) const
+{
+    feed_page page;
+    page.answered = true;
+    const auto found = m_feeds.find(which);
+    if (found == m_feeds.end()) {
+        return page;
+    }
+    std::map<std::string, std::optional<std::string>> last;
+    for (const kept_record &item : found->second) {
+        last[item.key] = item.value;
+    }
+    for (const auto &[key, value] : last) {
+        if (value) {
+            page.entries.push_back({ key, value });
+        }
+    }
+    page.end = found->second.size();
+    page.next = page.end;
+    return page;
+}
+
+feed_page fake_platform::read(feed which, std::uint64_t from) const
+{
+    feed_page page;
+    page.answered = true;
+    const auto found = m_feeds.find(which);
+    if (found != m_feeds.end()) {
+        for (std::uint64_t i = from; i < found->second.size(); ++i) {
+            page.entries.push_back({ found->second[i].key, found->second[i].value });
+        }
+        page.end = found->second.size();
+    }
+    page.next = page.end;
+    return page;
+}
+
+order_result fake_platform::startOn(fake_worker &target, const start_order &order)
+{
+    if (!target.alive || order.worker.born != target.report.born) {
+        return { order_end::other_life, std::nullopt, {} };
+    }
+    if (order.fencingToken < target.fence) {
+        return { order_end::fenced, std::nullopt, {} };
+    }
+    target.fence = order.fencingToken;
+    const auto same = target.running.find(order.task);
+    if (same != target.running.end() && same->second.run == order.run) {
+        return { order_end::accepted, std::nullopt, {} };
+    }
+    if (order.run <= target.highestOver[order.task]) {
+        return { order_end::old, std::nullopt, {} };
+    }
+    if (!m_runningOn[order.task].empty()) {
+        m_violations.push_back("two runs of " + order.task.text());
+    }
+    if (m_doneNoted.count(order.task) > 0) {
+        m_violations.push_back("started after its end was noted: " + order.task.text());
+    }
+    const std::int64_t clock
+        = duration_cast<milliseconds>(m_now.time_since_epoch()).count() + static_cast<std::int64_t>(target.report.id.size()) * 1000;
+    target.until = std::max(target.until, m_now + milliseconds(order.untilMs - clock));
+    ++target.starts;
+    target.running[order.task] = { order.run, m_now + runTime(order.task), target.failsAll ? run_end::failed : run_end::done, {} };
+    m_runningOn[order.task].insert(target.report.id);
+    return { order_end::accepted, std::nullopt, {} };
+}
+
+void fake_platform::endRun(fake_worker &target, task_key key, run_end how)
+{
+    const int run = target.running.at(key).run;
+    target.running.erase(key);
+    m_runningOn[key].erase(target.report.id);
+    target.highestOver[key] = std::max(target.highestOver[key], run);
+    target.finished.push_back({ ++target.ends, key, run, how, {} });
+    m_doneRuns += how == run_end::done ? 1 : 0;
+}
+
+void fake_platform::lapse()
+{
+    for (auto &[id, target] : m_workers) {
+        while (!target.running.empty() && m_now > target.until) {
+            endRun(target, target.running.begin()->first, run_end::lapsed);
+        }
+    }
+}
+
+void fake_platform::finishDue()
+{
+    for (auto &[id, target] : m_workers) {
+        std::vector<std::pair<task_key, run_end>> due;
+        for (const auto &[key, run] : target.running) {
+            if (m_now >= run.endsAt) {
+                due.emplace_back(key, run.how);
+            }
+        }
+        for (const auto &[key, how] : due) {
+            endRun(target, key, how);
+        }
+    }
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/manager/test/ownership_test.cpp
@@ -0,0 +1,176 @@
+#include "fake_platform.h"
+#include <criterion/criterion.h>
+#include <jujubespool/testing/table.h>
+
+namespace {
+
+using namespace jujubespool;
+
+constexpr resources WORKER_SIZE{ 8000, 16000, 0 };
+const std::string FIRST_JOB = "00000000000000a1";
+const std::string QUEUE_PATH = "/q/";
+
+fleet_config configWithOneQueue()
+{
+    fleet_config config;
+    config.version = 1;
+    queue_config queue;
+    queue.name = "q";
+    queue.host = "h";
+    queue.pathPrefix = QUEUE_PATH;
+    queue.pool = "pool";
+    queue.attempts = 3;
+    queue.openToAll = true;
+    config.queues.push_back(queue);
+    return config;
+}
+
+// A fleet with one pool and processes that may own its jobs.
+struct fleet
+{
+    fleet()
+    {
+        platform.setConfig(configWithOneQueue());
+        platform.addWorker("w1", "pool", WORKER_SIZE);
+        platform.addWorker("worker-2", "pool", WORKER_SIZE);
+    }
+
+    owner_session &begin(const std::string &process, std::uint64_t incarnation)
+    {
+        manager_settings settings;
+        settings.node = process;
+        sessions[process] = std::make_unique<owner_session>(platform.clientsOf(process), platform, log, settings,
+                                                            process_identity{ process, incarnation }, [this] { return platform.wall(); });
+        sessions[process]->begin([this, process](session_event event, instant) { events[process].push_back(event); });
+        tickForever(process);
+        return *sessions[process];
+    }
+
+    void tickForever(const std::string &process)
+    {
+        platform.after(milliseconds(25), [this, process](instant now) {
+            if (frozen.count(process) == 0) {
+                sessions.at(process)->tick(now);
+            }
+            tickForever(process);
+        });
+    }
+
+    // Sends the call and returns the status of the answer, 0 for none within the time.
+    int call(const std::string &process, const std::string &method, const std::string &path, const std::string &body = {})
+    {
+        const auto status = std::make_shared<int>(0);
+        sessions.at(process)->handle({ method, "h", path, {}, body }, platform.now(), [status](const http_reply &reply) { *status = reply.status; });
+        platform.advance(milliseconds(100));
+        return *status;
+    }
+
+    fake_platform platform;
+    counting_log log;
+    std::map<std::string, std::unique_ptr<owner_session>> sessions;
+    std::map<std::string, std::vector<session_event>> events;
+    std::set<std::string> frozen;
+};
+
+struct harm_row
+{
+    const char *name;
+    void (*harm)(fleet &item);
+};
+
+// What may happen to the owner or its workers 40 ms after a job of 30 tasks was accepted.
+const harm_row HARMS[] = {
+    { "nothing", [](fleet &) {} },
+    { "answers of the store are lost for a while",
+      [](fleet &item) {
+          item.platform.linksOf("entry-1").storeAnswersLost = true;
+          item.platform.after(seconds(2), [&item](instant) { item.platform.linksOf("entry-1").storeAnswersLost = false; });
+      } },
+    { "the store is away for a while",
+      [](fleet &item) {
+          item.platform.linksOf("entry-1").storeDown = true;
+          item.platform.after(seconds(3), [&item](instant) { item.platform.linksOf("entry-1").storeDown = false; });
+      } },
+    { "another process takes over", [](fleet &item) { item.begin("entry-2", 22); } },
+    { "the owner freezes and another process takes over",
+      [](fleet &item) {
+          item.frozen.insert("entry-1");
+          item.begin("entry-2", 22);
+          item.platform.after(seconds(5), [&item](instant) { item.frozen.clear(); });
+      } },
+    { "a worker starts another life",
+      [](fleet &item) { item.platform.after(milliseconds(100), [&item](instant) { item.platform.restartWorker("w1"); }); } },
+    { "starts are carried out three seconds late and not answered",
+      [](fleet &item) {
+          item.platform.linksOf("entry-1").startsLate = seconds(3);
+          item.platform.after(seconds(1), [&item](instant) { item.platform.linksOf("entry-1").startsLate = milliseconds(0); });
+      } },
+    { "a worker cannot be reached for a while",
+      [](fleet &item) {
+          item.platform.linksOf("entry-1").unreachableWorkers.insert("w1");
+          item.platform.after(seconds(8), [&item](instant) { item.platform.linksOf("entry-1").unreachableWorkers.clear(); });
+      } },
+};
+
+} // namespace
+
+Test(ownership, aJobIsAcceptedRunAndShownAsCompleted)
+{
+    fleet item;
+    item.begin("entry-1", 11);
+    item.platform.advance(milliseconds(500));
+    cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "12"), 200);
+    item.platform.advance(seconds(2));
+    cr_assert_eq(item.platform.doneRuns(), 12);
+    cr_assert(item.platform.violations().empty());
+}
+
+// The store answers a repeat of (epoch, number) with the first answer, whoever sends it.
+Test(ownership, ofTwoProcessesThatClaimAtOnceOneOwns)
+{
+    fleet item;
+    item.begin("entry-1", 11);
+    item.begin("entry-2", 22);
+    item.platform.advance(seconds(1));
+    const int owners = (item.sessions.at("entry-1")->active() ? 1 : 0) + (item.sessions.at("entry-2")->active() ? 1 : 0);
+    cr_assert_eq(owners, 1);
+}
+
+// A former owner that is cut off from the store goes on reaching workers that its successor does not reach.
+Test(ownership, aTaskDoesNotRunTwiceWhenTheFormerOwnerIsCutOffWithItsWorker)
+{
+    fleet item;
+    item.platform.runTime = [](const task_key &) { return seconds(60); };
+    item.begin("entry-1", 11);
+    item.platform.advance(milliseconds(500));
+    cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
+    cr_assert_eq(item.platform.runningTasks(), 4);
+    const std::string busy = item.platform.workerNamed("w1").running.empty() ? "worker-2" : "w1";
+    item.platform.linksOf("entry-1").storeDown = true;
+    item.platform.linksOf("entry-2").unreachableWorkers.insert(busy);
+    item.begin("entry-2", 22);
+    item.platform.advance(seconds(30));
+    cr_assert(item.platform.violations().empty(), "%s", item.platform.violations().empty() ? "" : item.platform.violations()[0].c_str());
+    cr_assert_eq(item.platform.runningTasks(), 4);
+}
+
+ParameterizedTestParameters(ownership, everyTaskEndsOnceWhatever)
+{
+    return rowsOf(HARMS);
+}
+
+ParameterizedTest(std::size_t *row, ownership, everyTaskEndsOnceWhatever)
+{
+    fleet item;
+    item.begin("entry-1", 11);
+    item.platform.advance(milliseconds(500));
+    cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "30"), 200);
+    HARMS[*row].harm(item);
+    item.platform.advance(seconds(40));
+    cr_assert(item.platform.violations().empty(), "%s: %s", HARMS[*row].name,
+              item.platform.violations().empty() ? "" : item.platform.violations()[0].c_str());
+    const std::string owner = item.sessions.count("entry-2") > 0 ? "entry-2" : "entry-1";
+    cr_assert(item.sessions.at(owner)->active(), "%s", HARMS[*row].name);
+    const job &done = item.sessions.at(owner)->manager()->model().jobs().at(FIRST_JOB);
+    cr_assert_eq(done.state(), job_state::completed, "%s: %s", HARMS[*row].name, std::string(nameOf(done.state())).c_str());
+}
