Survive connections that fail at once; deny no job that an earlier owner may have accepted

Cause: (1) a connection refused within connect() ended the exchange inside send(), which then wrote into freed memory (exit code 139 just after a take-over, when all workers are called); (2) a call passed to two owners took the second's 401 for an answer. Ruled out: evhttp requests freed under a pending reply (they are detached), sessions freed in their own callbacks (deferred).

--- a/packages/manager/src/call_router.cpp
+++ b/packages/manager/src/call_router.cpp
@@ -12,6 +12,8 @@
 constexpr unsigned RETRY_AFTER_S = 1;
 constexpr int STATUS_UNAVAILABLE = 503;
 constexpr int STATUS_TIMEOUT = 504;
+constexpr int STATUS_GONE = 410;
+constexpr int FIRST_REFUSAL_STATUS = 400;
 
 } // namespace
 
@@ -92,8 +94,9 @@
     const pending_call item = std::move(found->second);
     m_pending.erase(found);
     http_reply answer = reply;
-    if (item.passes > 1 && answer.status == STATUS_UNAVAILABLE && item.call.method != "GET") {
-        // An owner that got the call before may have accepted it.
+    const bool refused = answer.status >= FIRST_REFUSAL_STATUS && answer.status != STATUS_GONE;
+    if (item.passes > 1 && refused && item.call.method != "GET") {
+        // An owner that got the call before may have accepted it, under a configuration that allowed it.
         answer.status = STATUS_TIMEOUT;
     }
     m_log.count("answers_total", std::to_string(answer.status));
--- a/packages/manager/src/http_listener.cpp
+++ b/packages/manager/src/http_listener.cpp
@@ -89,6 +89,11 @@
 void http_listener::onRequest(evhttp_request *request, void *self)
 {
     auto &listener = *static_cast<http_listener *>(self);
+    if (evhttp_request_get_uri(request) == nullptr) {
+        // What was sent is no request.
+        sendReply(request, { HTTP_BADREQUEST, "{}" });
+        return;
+    }
     http_call call;
     call.method = methodName(evhttp_request_get_command(request));
     call.host = headerOf(request, "Host");
--- a/packages/platform/src/http_client.cpp
+++ b/packages/platform/src/http_client.cpp
@@ -51,6 +51,9 @@
     std::string address;
     callback done;
     bool failed = false;
+    // A connection may fail within the call that makes it; that is told later.
+    bool sending = false;
+    bool endedWhileSending = false;
 
     ~exchange()
     {
@@ -62,7 +65,9 @@
     static void onDone(evhttp_request *request, void *argument)
     {
         auto &self = *static_cast<exchange *>(argument);
-        if (request == nullptr || self.failed) {
+        if (self.sending) {
+            self.endedWhileSending = true;
+        } else if (request == nullptr || self.failed) {
             self.end(http_end::closed);
         } else if (evhttp_request_get_response_code(request) == 0) {
             self.end(http_end::connect_failed);
@@ -202,7 +207,10 @@
         evbuffer_add(evhttp_request_get_output_buffer(item.request), request.body.data(), request.body.size());
     }
     const evhttp_cmd_type command = request.method == http_method::post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
-    const bool made = evhttp_make_request(item.connection, item.request, command, request.path.c_str()) == 0;
+    item.sending = true;
+    const bool begun = evhttp_make_request(item.connection, item.request, command, request.path.c_str()) == 0;
+    item.sending = false;
+    const bool made = begun && !item.endedWhileSending;
     item.timer = evtimer_new(m_base, made ? exchange::onTimeout : exchange::onNoConnection, &item);
     const timeval timeout = toTimeval(request.timeout);
     evtimer_add(item.timer, made ? &timeout : &immediately);
--- a/packages/platform/test/platform_test.cpp
+++ b/packages/platform/test/platform_test.cpp
@@ -1,3 +1,4 @@
+#include <event2/event.h>
 #include <jujubespool/platform/base64.h>
 #include <jujubespool/platform/http_client.h>
 #include <jujubespool/testing/table.h>
@@ -49,3 +50,26 @@
     cr_assert(decoded.has_value() && *decoded == text, "expected '%s' again", text.c_str());
     cr_assert_not(decodeBase64("a").has_value(), "expected a text of one digit to be refused");
 }
+
+// The kernel refuses a connection to the broadcast address at once, within the call.
+Test(http_client, tellsOfAConnectionThatFailsAtOnceOnlyAfterSendHasReturned)
+{
+    event_base *base = event_base_new();
+    {
+        http_client client(base);
+        http_request request;
+        request.address = "255.255.255.255:1";
+        request.path = "/";
+        bool returned = false;
+        int calls = 0;
+        client.send(request, [&](const http_result &result) {
+            cr_assert(returned, "expected no callback before send() has returned");
+            cr_assert_eq(result.end, http_end::connect_failed);
+            ++calls;
+        });
+        returned = true;
+        event_base_dispatch(base);
+        cr_assert_eq(calls, 1);
+    }
+    event_base_free(base);
+}
