Size pools by need: hosts follow the turns of the queues and are switched off in between

Cause: pools of fixed size hold less than a turn asks and cost most of the price when idle; the wave emptied as many hosts as its maximum beyond those that were down. Ruled out: a constant reserve (price without turns).

--- a/packages/jobs/include/jujubespool/jobs/caller_codec.h
+++ b/packages/jobs/include/jujubespool/jobs/caller_codec.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include <jujubespool/jobs/gateways.h>
-#include <jujubespool/jobs/host_driver.h>
+#include <jujubespool/jobs/upkeep_driver.h>
 #include <memory>
 
 namespace jujubespool {
--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -103,6 +103,8 @@
     void release(const task_key &key);
     // Takes the end of a run into account. Returns false when it is not the task's current run there.
     bool applyEnd(const finished_run &finished, const std::string &workerId, wall_ms wall);
+    // The task runs at its full speed on a worker that answers.
+    bool atWork(const task_key &key);
     void endJob(job &item, job_state state, wall_ms wall);
     // A worker has begun another life or its leases have lapsed: its runs are gone.
     void releaseAll(const std::vector<task_key> &keys);
--- /dev/null
+++ b/packages/jobs/include/jujubespool/jobs/host_roster.h
@@ -0,0 +1,100 @@
+// The hosts as the platform lists them, and the orders for them that are on their way.
+//
+//     host_roster roster(model, gateway, log, order);
+//     roster.refresh(now);
+//     for (const auto &[name, host] : roster.hosts()) { ... }
+//
+// A host with an order on its way, or with one that was not answered, is left alone until the list shows how
+// the order ended.
+#pragma once
+
+#include <jujubespool/jobs/fleet_model.h>
+#include <jujubespool/jobs/lifetime.h>
+
+namespace jujubespool {
+
+class host_roster
+{
+public:
+    host_roster(fleet_model &model, host_gateway &gateway, decision_log &log, const std::string &holder, std::uint64_t fencingToken);
+
+    // Asks for the list when it is due.
+    void refresh(instant now);
+    bool listed() const
+    {
+        return m_listed;
+    }
+    const std::map<std::string, host_entry> &hosts() const
+    {
+        return m_hosts;
+    }
+    const host_entry *find(const std::string &host) const;
+    // The worker that runs on the host; null while none does.
+    worker *workerOn(const host_entry &host) const;
+    // In service, without an order on its way and not about to leave.
+    bool orderable(const host_entry &host) const;
+    bool busy(const std::string &host) const
+    {
+        return m_ordered.count(host) > 0;
+    }
+    // The platform has refused this move for good.
+    bool moveRefused(const std::string &host, const std::string &pool) const
+    {
+        return m_refusedMoves.count({ host, pool }) > 0;
+    }
+    // Hosts whose move to the pool is on its way.
+    int arriving(const std::string &pool) const;
+    // Hosts of these whose upkeep is, or may be, under way.
+    int inUpkeep(const std::vector<std::string> &hosts) const;
+
+    void move(const std::string &host, const std::string &pool, instant now);
+    // Tells how an upkeep order ended; `began` also when the list shows it after an answer was lost.
+    using upkeep_callback = std::function<void(host_order_end end, instant now)>;
+    void upkeep(const std::string &host, std::uint64_t wave, upkeep_callback done, instant now);
+    // Called when another owner has ordered with a higher fencing token.
+    void onFenced(std::function<void(instant now)> call)
+    {
+        m_onFenced = std::move(call);
+    }
+    // Another owner may have ordered until just before: gives no orders until then.
+    void setFirstOrderAt(instant when)
+    {
+        m_firstOrderAt = when;
+    }
+    bool mayOrder(instant now) const
+    {
+        return now >= m_firstOrderAt;
+    }
+
+private:
+    struct ordered_host
+    {
+        // Empty for an upkeep.
+        std::string toPool;
+        instant orderedAt;
+        bool answered = false;
+        upkeep_callback done;
+    };
+    void onList(const host_list &list, instant askedAt, instant now);
+    void settleOrders(instant askedAt, instant now);
+    void onAnswer(const std::string &host, const host_order_result &result, instant now);
+    void cordon(const std::string &host, bool cordoned);
+
+    fleet_model &m_model;
+    host_gateway &m_gateway;
+    decision_log &m_log;
+    std::string m_holder;
+    std::uint64_t m_token;
+    std::map<std::string, host_entry> m_hosts;
+    std::map<std::string, ordered_host> m_ordered;
+    // Hosts that the platform refuses to move to a pool.
+    std::set<std::pair<std::string, std::string>> m_refusedMoves;
+    bool m_listed = false;
+    bool m_listing = false;
+    instant m_listNotBefore;
+    instant m_firstOrderAt;
+    std::function<void(instant now)> m_onFenced;
+    lifetime m_lifetime;
+};
+
+} // namespace jujubespool
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -9,8 +9,8 @@
 // at the workers, so that a former owner can do no harm.
 #pragma once
 
-#include <jujubespool/jobs/host_driver.h>
 #include <jujubespool/jobs/ledger_writer.h>
+#include <jujubespool/jobs/pool_mover.h>
 #include <jujubespool/jobs/run_supervisor.h>
 
 namespace jujubespool {
@@ -47,7 +47,7 @@
     void setConfig(std::shared_ptr<const fleet_config> config, instant now);
     void onWorkerReport(const worker_report &report, instant now);
     void onWorkerUnlisted(const std::string &id, instant now);
-    void onWave(const upkeep_wave &wave, instant now);
+    void onWave(const upkeep_wave &wave, wall_ms wall);
 
     void submit(const job_request &request, std::function<void(submit_end end)> done, instant now, wall_ms wall);
     void cancel(const std::string &id, std::function<void(cancel_end end)> done, instant now, wall_ms wall);
@@ -102,7 +102,9 @@
     run_supervisor m_runs;
     run_scheduler m_scheduler;
     advice_book m_advice;
-    host_driver m_hosts;
+    host_roster m_roster;
+    upkeep_driver m_upkeep;
+    pool_mover m_mover;
     bool m_scheduleNeeded = false;
     bool m_resigned = false;
     bool m_lost = false;
--- /dev/null
+++ b/packages/jobs/include/jujubespool/jobs/upkeep_driver.h
@@ -0,0 +1,78 @@
+// Takes the hosts of upkeep waves out of service one by one, without cutting work.
+//
+//     upkeep_driver upkeep(model, runs, roster, status, log);
+//     upkeep.setWave(wave, now, wall);
+//     upkeep.tick(now, wall);
+//
+// Hosts that run nothing go first. Others get no new work, their tasks end or move elsewhere within what their jobs
+// may miss, and only then is their upkeep ordered; no more of them are emptied at once than the deadline needs.
+// At most the wave's maximum are down at once.
+#pragma once
+
+#include <jujubespool/jobs/host_roster.h>
+#include <jujubespool/jobs/run_supervisor.h>
+
+namespace jujubespool {
+
+// A request to have hosts maintained.
+struct upkeep_wave
+{
+    std::uint64_t number = 0;
+    std::vector<std::string> hosts;
+    seconds deadline{ 0 };
+    int maximum = 1;
+};
+
+// Where operators read the state of waves.
+class status_board
+{
+public:
+    virtual ~status_board() = default;
+    virtual void showWave(std::uint64_t wave, bool completed, std::function<void(bool written, instant now)> done) = 0;
+};
+
+// How many hosts have to be out of service at once for the rest of the wave to end in time.
+int hostsNeededAtOnce(int hostsLeft, milliseconds timeLeft, milliseconds perHost, int maximum);
+
+class upkeep_driver
+{
+public:
+    upkeep_driver(fleet_model &model, run_supervisor &runs, host_roster &roster, status_board &status, decision_log &log);
+
+    void setWave(const upkeep_wave &wave, wall_ms wall);
+    void restore(std::uint64_t wave, const wire::upkeep_image &image);
+    // Waves whose record has changed since the last call.
+    std::map<std::uint64_t, wire::upkeep_image> takeChanged();
+    void tick(instant now, wall_ms wall);
+    // The host is in a wave and its upkeep has not begun.
+    bool isDue(const std::string &host) const;
+
+private:
+    struct wave_progress
+    {
+        upkeep_wave wave;
+        bool known = false;
+        wall_ms knownAt = 0;
+        std::set<std::string> begun;
+        bool completed = false;
+        bool shownRunning = false;
+        bool shownCompleted = false;
+        bool showing = false;
+    };
+    void drive(wave_progress &progress, instant now, wall_ms wall);
+    void begin(wave_progress &progress, const host_entry &host, instant now);
+    void empty(worker &target, instant now);
+    bool mayEvict(const task_key &key);
+    void show(wave_progress &progress);
+
+    fleet_model &m_model;
+    run_supervisor &m_runs;
+    host_roster &m_roster;
+    status_board &m_status;
+    decision_log &m_log;
+    std::map<std::uint64_t, wave_progress> m_waves;
+    std::set<std::uint64_t> m_changed;
+    lifetime m_lifetime;
+};
+
+} // namespace jujubespool
--- a/packages/jobs/include/jujubespool/jobs/worker_book.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_book.h
@@ -43,6 +43,8 @@
     int run = 0;
     resources need;
     bool fills = false;
+    // The run goes on until its job is cancelled.
+    bool lasting = false;
     // The worker has confirmed the run, by an answer or in a list.
     bool confirmed = false;
     // Orders for the run have been sent and at least one has no answer.
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -91,6 +91,7 @@
     placed.run = task.run;
     placed.need = needOf(step);
     placed.fills = step.fills;
+    placed.lasting = step.longRunning;
     placed.placedAt = now;
     placed.target = step.target;
     target.place(key, placed);
@@ -127,6 +128,7 @@
     placed.run = task.run;
     placed.need = needOf(step);
     placed.fills = step.fills;
+    placed.lasting = step.longRunning;
     placed.confirmed = true;
     placed.placedAt = now;
     placed.confirmedAt = now;
@@ -204,6 +206,18 @@
     return true;
 }
 
+bool fleet_model::atWork(const task_key &key)
+{
+    const task_progress &task = *find(key.job)->task(key);
+    const worker *target = task.phase == task_phase::assigned ? m_workers.find(task.worker) : nullptr;
+    if (target == nullptr || target->unansweredInRow > 0) {
+        return false;
+    }
+    const auto placed = target->runs.find(key);
+    return placed != target->runs.end() && placed->second.confirmed && !placed->second.stopping
+        && placed->second.progressPercent >= 100;
+}
+
 void fleet_model::endJob(job &item, job_state state, wall_ms wall)
 {
     item.setState(state, wall);
--- /dev/null
+++ b/packages/jobs/src/host_roster.cpp
@@ -0,0 +1,175 @@
+#include <jujubespool/jobs/host_roster.h>
+
+#include <algorithm>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr milliseconds LIST_INTERVAL{ 1000 };
+constexpr milliseconds LIST_INTERVAL_WITH_ORDERS{ 300 };
+constexpr milliseconds LIST_RETRY_DELAY{ 500 };
+// An order without an answer counts as carried out late until the list has been the same for this long.
+constexpr milliseconds DOUBT_TIME{ 4000 };
+
+} // namespace
+
+host_roster::host_roster(fleet_model &model, host_gateway &gateway, decision_log &log, const std::string &holder,
+                         std::uint64_t fencingToken)
+    : m_model(model)
+    , m_gateway(gateway)
+    , m_log(log)
+    , m_holder(holder)
+    , m_token(fencingToken)
+{
+}
+
+void host_roster::refresh(instant now)
+{
+    if (m_listing || now < m_listNotBefore) {
+        return;
+    }
+    m_listing = true;
+    m_gateway.list(m_lifetime.guard([this, now](const host_list &list, instant then) { onList(list, now, then); }));
+}
+
+void host_roster::onList(const host_list &list, instant askedAt, instant now)
+{
+    m_listing = false;
+    if (!list.hosts) {
+        m_log.write("hosts-unlisted", { { "peer", list.reason.peer }, { "reason", list.reason.reason } });
+        m_listNotBefore = now + LIST_RETRY_DELAY;
+        return;
+    }
+    m_listed = true;
+    m_hosts.clear();
+    for (const host_entry &host : *list.hosts) {
+        m_hosts[host.name] = host;
+    }
+    settleOrders(askedAt, now);
+    m_listNotBefore = askedAt + (m_ordered.empty() ? LIST_INTERVAL : LIST_INTERVAL_WITH_ORDERS);
+}
+
+void host_roster::settleOrders(instant askedAt, instant now)
+{
+    for (auto item = m_ordered.begin(); item != m_ordered.end();) {
+        const auto &[name, order] = *item;
+        const host_entry *host = find(name);
+        const bool up = host != nullptr && host->state == host_condition::up;
+        const bool upkeep = order.toPool.empty();
+        const milliseconds least = upkeep ? m_model.bounds().upkeepTime : m_model.bounds().moveTime;
+        bool over = host == nullptr;
+        if (!order.answered && upkeep && host != nullptr && host->state == host_condition::upkeep) {
+            // The answer was lost, but the upkeep has begun.
+            item->second.answered = true;
+            item->second.orderedAt = now;
+            order.done(host_order_end::done, now);
+        } else if (order.answered) {
+            over = over || (up && askedAt > order.orderedAt + least);
+        } else {
+            over = over || (up && askedAt > order.orderedAt + DOUBT_TIME);
+        }
+        if (over) {
+            cordon(name, false);
+        }
+        item = over ? m_ordered.erase(item) : std::next(item);
+    }
+}
+
+const host_entry *host_roster::find(const std::string &host) const
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+worker *host_roster::workerOn(const host_entry &host) const
+{
+    return host.worker.empty() ? nullptr : m_model.workers().find(host.worker);
+}
+
+bool host_roster::orderable(const host_entry &host) const
+{
+    const worker *target = workerOn(host);
+    return host.state == host_condition::up && !busy(host.name)
+        && !(target != nullptr && target->report.state == worker_state::draining);
+}
+
+int host_roster::arriving(const std::string &pool) const
+{
+    return static_cast<int>(
+        std::count_if(m_ordered.begin(), m_ordered.end(), [&pool](const auto &item) { return item.second.toPool == pool; }));
+}
+
+int host_roster::inUpkeep(const std::vector<std::string> &hosts) const
+{
+    return static_cast<int>(std::count_if(hosts.begin(), hosts.end(), [this](const std::string &name) {
+        const auto order = m_ordered.find(name);
+        const host_entry *host = find(name);
+        const bool ordered = order != m_ordered.end() && order->second.toPool.empty();
+        return ordered || (host != nullptr && host->state == host_condition::upkeep);
+    }));
+}
+
+void host_roster::cordon(const std::string &name, bool cordoned)
+{
+    const host_entry *host = find(name);
+    worker *target = host == nullptr ? nullptr : workerOn(*host);
+    if (target != nullptr) {
+        target->cordoned = cordoned;
+    }
+}
+
+void host_roster::move(const std::string &host, const std::string &pool, instant now)
+{
+    m_log.write("move-ordered", { { "host", host }, { "from", find(host)->pool }, { "to", pool } });
+    m_ordered[host] = { pool, now, false, {} };
+    cordon(host, true);
+    m_listNotBefore = std::min(m_listNotBefore, now + m_model.bounds().moveTime);
+    m_gateway.move({ host, m_holder, m_token }, pool,
+                   m_lifetime.guard([this, host](const host_order_result &result, instant then) { onAnswer(host, result, then); }));
+}
+
+void host_roster::upkeep(const std::string &host, std::uint64_t wave, upkeep_callback done, instant now)
+{
+    m_log.write("upkeep-ordered", { { "wave", std::to_string(wave) }, { "host", host } });
+    m_ordered[host] = { {}, now, false, std::move(done) };
+    cordon(host, true);
+    m_gateway.upkeep({ host, m_holder, m_token }, wave,
+                     m_lifetime.guard([this, host](const host_order_result &result, instant then) { onAnswer(host, result, then); }));
+}
+
+void host_roster::onAnswer(const std::string &host, const host_order_result &result, instant now)
+{
+    m_log.count("host_orders_total", nameOf(result.end));
+    if (result.end != host_order_end::done) {
+        m_log.write("host-order-answered",
+                    { { "host", host }, { "outcome", std::string(nameOf(result.end)) }, { "reason", result.reason.reason } });
+    }
+    const auto found = m_ordered.find(host);
+    if (found == m_ordered.end()) {
+        return;
+    }
+    if (result.end == host_order_end::fenced) {
+        m_onFenced(now);
+        return;
+    }
+    if (result.end == host_order_end::unknown) {
+        return;
+    }
+    const upkeep_callback done = found->second.done;
+    if (result.end == host_order_end::done) {
+        found->second.answered = true;
+        found->second.orderedAt = now;
+    } else {
+        if (result.end == host_order_end::invalid && !found->second.toPool.empty()) {
+            m_refusedMoves.insert({ host, found->second.toPool });
+        }
+        cordon(host, false);
+        m_ordered.erase(found);
+    }
+    if (done) {
+        done(result.end, now);
+    }
+}
+
+} // namespace jujubespool
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -19,9 +19,12 @@
     , m_model(bounds)
     , m_writer(gateways.store, clock, log, owned.epoch, owned.claimSequence + 1)
     , m_runs(m_model, gateways.workers, clock, log, owned.epoch, *this)
-    , m_hosts(m_model, m_runs, gateways.hosts, gateways.status, log, owned.holder, owned.epoch)
+    , m_roster(m_model, gateways.hosts, log, owned.holder, owned.epoch)
+    , m_upkeep(m_model, m_runs, m_roster, gateways.status, log)
+    , m_mover(m_model, m_roster)
 {
     m_writer.onFenced([this](instant now) { onFenced(now); });
+    m_roster.onFenced([this](instant now) { onFenced(now); });
 }
 
 void job_manager::restore(const std::map<std::string, std::string> &entries, instant now, wall_ms wall)
@@ -41,10 +44,12 @@
         if (parsed.kind == ledger_kind::job && image.ParseFromString(value)) {
             restoreJob(image, leaseEnd, now);
         } else if (parsed.kind == ledger_kind::wave && upkeep.ParseFromString(value)) {
-            m_hosts.restore(std::stoull(parsed.name), upkeep);
+            m_upkeep.restore(std::stoull(parsed.name), upkeep);
         }
     }
-    m_hosts.setFirstOrderAt(now + m_model.bounds().hostLease);
+    if (owner != entries.end()) {
+        m_roster.setFirstOrderAt(now + m_model.bounds().hostLease);
+    }
     m_log.write("ownership-restored",
                 { { "entries", std::to_string(entries.size()) },
                   { "live_jobs", std::to_string(m_model.live().size()) },
@@ -115,9 +120,9 @@
     m_model.workers().unlist(id);
 }
 
-void job_manager::onWave(const upkeep_wave &wave, instant now)
+void job_manager::onWave(const upkeep_wave &wave, wall_ms wall)
 {
-    m_hosts.setWave(wave, now);
+    m_upkeep.setWave(wave, wall);
 }
 
 void job_manager::submit(const job_request &request, std::function<void(submit_end end)> done, instant now, wall_ms wall)
@@ -213,7 +218,9 @@
         }
     }
     if (!m_resigned) {
-        m_hosts.tick(now);
+        m_roster.refresh(now);
+        m_upkeep.tick(now, wall);
+        m_mover.tick(now);
     }
     m_runs.tick(now);
     if (now - m_lastForget > FORGET_INTERVAL) {
@@ -304,7 +311,7 @@
             m_clock.after(milliseconds(0), m_lifetime.guard([this, id](instant now) { stopRuns(id, now); }));
         }
     }
-    for (const auto &[number, image] : m_hosts.takeChanged()) {
+    for (const auto &[number, image] : m_upkeep.takeChanged()) {
         m_writer.put({ ledgerKey(ledger_kind::wave, std::to_string(number)), image.SerializeAsString() });
     }
 }
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -8,17 +8,29 @@
 namespace {
 
 // Smaller is better, part by part.
-using preference = std::tuple<bool, bool, std::int64_t, std::int64_t>;
+using preference = std::tuple<bool, bool, int, std::int64_t, std::int64_t>;
 
-std::int64_t lastingRuns(const worker &target, bool fills)
+// Part of a host that lasting tasks should fill at most, as long as there are other hosts.
+constexpr double LASTING_SHARE = 0.6;
+
+// Tasks that last serve callers of their own or fill what is left.
+bool lasts(const placed_run &run)
+{
+    return run.fills || run.lasting;
+}
+
+std::int64_t lastingRuns(const worker &target)
 {
-    return std::count_if(target.runs.begin(), target.runs.end(),
-                         [fills](const auto &item) { return item.second.fills == fills && item.second.target.count() > 0; });
+    return std::count_if(target.runs.begin(), target.runs.end(), [](const auto &item) { return lasts(item.second); });
 }
 
-std::int64_t fillingRuns(const worker &target)
+std::int64_t lastingMillis(const worker &target)
 {
-    return std::count_if(target.runs.begin(), target.runs.end(), [](const auto &item) { return item.second.fills; });
+    std::int64_t millis = 0;
+    for (const auto &[key, run] : target.runs) {
+        millis += run.lasting && !run.fills ? run.need.cpuMillis : 0;
+    }
+    return millis;
 }
 
 preference preferenceFor(const worker &target, const placement_request &request)
@@ -27,13 +39,14 @@
     const bool failedHere = target.report.id == request.avoid;
     const bool farFromData = !step.dataRack.empty() && target.rack() != step.dataRack;
     const std::int64_t room = target.room().cpuMillis;
-    if (step.fills) {
-        return { failedHere, farFromData, lastingRuns(target, false) + fillingRuns(target), -room };
-    }
     if (step.longRunning) {
-        return { failedHere, farFromData, lastingRuns(target, false) + fillingRuns(target), -room };
+        // A few hosts take the lasting tasks, evenly, so that the others can be moved or switched off.
+        const bool crowded = lastingMillis(target) + (step.fills ? 0 : step.each.cpuMillis)
+            > static_cast<std::int64_t>(LASTING_SHARE * static_cast<double>(target.report.capacity.cpuMillis));
+        const bool opensHost = crowded || lastingRuns(target) == 0;
+        return { failedHere, farFromData, opensHost ? 1 : 0, lastingRuns(target), -room };
     }
-    return { failedHere, farFromData, 0, room };
+    return { failedHere, farFromData, 0, 0, room };
 }
 
 } // namespace
--- /dev/null
+++ b/packages/jobs/src/pool_mover.cpp
@@ -0,0 +1,126 @@
+#include <jujubespool/jobs/pool_mover.h>
+
+#include <algorithm>
+
+namespace jujubespool {
+
+namespace {
+
+constexpr milliseconds DECISION_INTERVAL{ 150 };
+// Moves ordered in one decision, so that the platform's rate of orders is not exceeded.
+constexpr std::size_t MAX_MOVES_AT_ONCE = 8;
+
+} // namespace
+
+std::map<std::string, std::int64_t> waitingMillisByPool(const fleet_model &model)
+{
+    std::map<std::string, std::int64_t> waiting;
+    std::map<std::string, std::int64_t> byTeam;
+    for (const std::string &id : model.live()) {
+        const job &item = model.jobs().at(id);
+        const queue_config *queue = model.queueOf(item);
+        if (queue == nullptr) {
+            continue;
+        }
+        std::int64_t millis = 0;
+        for (const auto &[number, occurrence] : item.occurrences()) {
+            for (std::size_t step = 0; !occurrence.ended && step < occurrence.steps.size(); ++step) {
+                const step_spec &spec = item.step(static_cast<int>(step));
+                if (spec.fills || occurrence.open[step] == 0 || !item.stepReady(occurrence, static_cast<int>(step))) {
+                    continue;
+                }
+                const auto &tasks = occurrence.steps[step];
+                millis += spec.each.cpuMillis * std::count_if(tasks.begin(), tasks.end(), [](const task_progress &task) {
+                              return task.phase == task_phase::waiting;
+                          });
+            }
+        }
+        const auto team = model.config().teams.find(item.request().team);
+        if (team != model.config().teams.end() && team->second.limit.cpuMillis > 0) {
+            const std::int64_t left
+                = team->second.limit.cpuMillis - model.usage().of(team->first).cpuMillis - byTeam[team->first];
+            millis = std::clamp<std::int64_t>(millis, 0, std::max<std::int64_t>(0, left));
+            byTeam[team->first] += millis;
+        }
+        waiting[queue->pool] += millis;
+    }
+    return waiting;
+}
+
+pool_mover::pool_mover(fleet_model &model, host_roster &roster)
+    : m_model(model)
+    , m_roster(roster)
+{
+}
+
+void pool_mover::addLoad(std::map<std::string, sizer_pool> &pools) const
+{
+    for (const auto &[pool, millis] : waitingMillisByPool(m_model)) {
+        const auto found = pools.find(pool);
+        if (found != pools.end()) {
+            found->second.waitingMillis = millis;
+        }
+    }
+    for (const auto &[id, target] : m_model.workers().all()) {
+        const auto found = pools.find(target.report.pool);
+        if (found != pools.end()) {
+            found->second.usedMillis += target.used.cpuMillis;
+        }
+    }
+}
+
+void pool_mover::addHosts(std::map<std::string, sizer_pool> &pools) const
+{
+    for (const auto &[name, host] : m_roster.hosts()) {
+        const auto found = pools.find(host.pool);
+        if (found == pools.end() || host.state == host_condition::down || m_roster.busy(name)) {
+            continue;
+        }
+        const worker *target = m_roster.workerOn(host);
+        const bool draining = target != nullptr && (target->report.state == worker_state::draining || !target->listed);
+        const bool unused = target == nullptr ? found->second.standby : target->runs.empty();
+        const bool free = m_roster.orderable(host) && unused;
+        if (!draining) {
+            found->second.hosts.push_back({ name, host.capacity.cpuMillis, free });
+        }
+    }
+    for (auto &[name, pool] : pools) {
+        pool.arriving = m_roster.arriving(name);
+        if (!pool.hosts.empty()) {
+            pool.arrivingCpuMillis = pool.arriving * pool.hosts.front().cpuMillis;
+        }
+    }
+}
+
+std::vector<sizer_pool> pool_mover::view() const
+{
+    std::map<std::string, sizer_pool> pools;
+    for (const auto &[name, config] : m_model.config().pools) {
+        pools[name].name = name;
+        pools[name].standby = config.standby;
+    }
+    addHosts(pools);
+    addLoad(pools);
+    std::vector<sizer_pool> list;
+    for (auto &[name, pool] : pools) {
+        list.push_back(std::move(pool));
+    }
+    return list;
+}
+
+void pool_mover::tick(instant now)
+{
+    if (!m_model.configured() || !m_roster.listed() || now < m_notBefore || !m_roster.mayOrder(now)) {
+        return;
+    }
+    m_notBefore = now + DECISION_INTERVAL;
+    std::size_t ordered = 0;
+    for (const host_move &move : m_sizer.decide(view(), now)) {
+        if (ordered < MAX_MOVES_AT_ONCE && !m_roster.moveRefused(move.host, move.toPool)) {
+            ++ordered;
+            m_roster.move(move.host, move.toPool, now);
+        }
+    }
+}
+
+} // namespace jujubespool
--- /dev/null
+++ b/packages/jobs/src/upkeep_driver.cpp
@@ -0,0 +1,209 @@
+#include <jujubespool/jobs/upkeep_driver.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace jujubespool {
+
+namespace {
+
+// Time that a host spends being emptied and being seen again, besides its upkeep.
+constexpr milliseconds EMPTYING_TIME{ 1500 };
+// The last part of the deadline is left as a reserve.
+constexpr milliseconds DEADLINE_RESERVE{ 3000 };
+
+} // namespace
+
+int hostsNeededAtOnce(int hostsLeft, milliseconds timeLeft, milliseconds perHost, int maximum)
+{
+    const auto rounds = std::max<std::int64_t>(1, timeLeft / perHost);
+    return static_cast<int>(std::min<std::int64_t>(maximum, (hostsLeft + rounds - 1) / rounds));
+}
+
+upkeep_driver::upkeep_driver(fleet_model &model, run_supervisor &runs, host_roster &roster, status_board &status, decision_log &log)
+    : m_model(model)
+    , m_runs(runs)
+    , m_roster(roster)
+    , m_status(status)
+    , m_log(log)
+{
+}
+
+void upkeep_driver::setWave(const upkeep_wave &wave, wall_ms wall)
+{
+    wave_progress &progress = m_waves[wave.number];
+    progress.wave = wave;
+    if (progress.known) {
+        return;
+    }
+    progress.known = true;
+    if (progress.knownAt == 0) {
+        progress.knownAt = wall;
+        m_changed.insert(wave.number);
+    }
+    m_log.write("wave-known",
+                { { "wave", std::to_string(wave.number) },
+                  { "hosts", std::to_string(wave.hosts.size()) },
+                  { "begun", std::to_string(progress.begun.size()) },
+                  { "maximum", std::to_string(wave.maximum) },
+                  { "deadline_s", std::to_string(wave.deadline.count()) } });
+}
+
+void upkeep_driver::restore(std::uint64_t wave, const wire::upkeep_image &image)
+{
+    wave_progress &progress = m_waves[wave];
+    progress.begun.insert(image.begun().begin(), image.begun().end());
+    progress.completed = image.completed();
+    progress.knownAt = image.known_ms();
+}
+
+std::map<std::uint64_t, wire::upkeep_image> upkeep_driver::takeChanged()
+{
+    std::map<std::uint64_t, wire::upkeep_image> images;
+    for (const std::uint64_t number : std::exchange(m_changed, {})) {
+        const wave_progress &progress = m_waves[number];
+        wire::upkeep_image &image = images[number];
+        for (const std::string &host : progress.begun) {
+            image.add_begun(host);
+        }
+        image.set_completed(progress.completed);
+        image.set_known_ms(progress.knownAt);
+    }
+    return images;
+}
+
+bool upkeep_driver::isDue(const std::string &host) const
+{
+    return std::any_of(m_waves.begin(), m_waves.end(), [&host](const auto &item) {
+        const wave_progress &progress = item.second;
+        const std::vector<std::string> &hosts = progress.wave.hosts;
+        return !progress.completed && progress.begun.count(host) == 0 && std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+    });
+}
+
+void upkeep_driver::tick(instant now, wall_ms wall)
+{
+    for (auto &[number, progress] : m_waves) {
+        if (progress.known && !progress.shownCompleted) {
+            show(progress);
+            if (m_roster.listed() && !progress.completed) {
+                drive(progress, now, wall);
+            }
+        }
+    }
+}
+
+void upkeep_driver::drive(wave_progress &progress, instant now, wall_ms wall)
+{
+    std::vector<const host_entry *> empty;
+    std::vector<std::tuple<bool, std::size_t, const host_entry *>> loaded;
+    int left = 0;
+    for (const std::string &name : progress.wave.hosts) {
+        const host_entry *host = m_roster.find(name);
+        if (host == nullptr || progress.begun.count(name) > 0) {
+            continue;
+        }
+        ++left;
+        const worker *target = m_roster.workerOn(*host);
+        if (!m_roster.orderable(*host)) {
+            continue;
+        }
+        if (target == nullptr || target->runs.empty()) {
+            empty.push_back(host);
+        } else {
+            loaded.emplace_back(!target->cordoned, target->runs.size(), host);
+        }
+    }
+    if (left == 0) {
+        progress.completed = true;
+        m_changed.insert(progress.wave.number);
+        m_log.write("wave-completed", { { "wave", std::to_string(progress.wave.number) } });
+        return;
+    }
+    if (!m_roster.mayOrder(now)) {
+        return;
+    }
+    int down = m_roster.inUpkeep(progress.wave.hosts);
+    for (const host_entry *host : empty) {
+        if (down < progress.wave.maximum) {
+            begin(progress, *host, now);
+            ++down;
+        }
+    }
+    const auto sinceKnown = milliseconds(wall - std::min(wall, progress.knownAt));
+    const milliseconds timeLeft = std::max(milliseconds(0), milliseconds(progress.wave.deadline) - DEADLINE_RESERVE - sinceKnown);
+    const milliseconds perHost = m_model.bounds().upkeepTime + EMPTYING_TIME;
+    int wanted = hostsNeededAtOnce(left, timeLeft, perHost, progress.wave.maximum) - down;
+    std::sort(loaded.begin(), loaded.end(), [](const auto &first, const auto &second) {
+        return std::tie(std::get<0>(first), std::get<1>(first), std::get<2>(first)->name)
+            < std::tie(std::get<0>(second), std::get<1>(second), std::get<2>(second)->name);
+    });
+    for (const auto &[fresh, runs, host] : loaded) {
+        worker &target = *m_roster.workerOn(*host);
+        target.cordoned = wanted > 0 || target.cordoned;
+        if (target.cordoned) {
+            --wanted;
+            this->empty(target, now);
+        }
+    }
+}
+
+void upkeep_driver::begin(wave_progress &progress, const host_entry &host, instant now)
+{
+    m_roster.upkeep(
+        host.name, progress.wave.number,
+        m_lifetime.guard([this, wave = progress.wave.number, name = host.name](host_order_end end, instant) {
+            if (end == host_order_end::done || end == host_order_end::wrong_wave || end == host_order_end::invalid) {
+                m_waves[wave].begun.insert(name);
+                m_changed.insert(wave);
+            }
+        }),
+        now);
+}
+
+void upkeep_driver::empty(worker &target, instant now)
+{
+    std::vector<task_key> lasting;
+    for (const auto &[key, run] : target.runs) {
+        if (m_model.find(key.job)->step(key.step).longRunning && !run.stopping) {
+            lasting.push_back(key);
+        }
+    }
+    for (const task_key &key : lasting) {
+        if (mayEvict(key)) {
+            m_log.write("run-evicted", { { "task", key.text() }, { "worker", target.report.id } });
+            m_runs.stop(key, now);
+        }
+    }
+}
+
+bool upkeep_driver::mayEvict(const task_key &key)
+{
+    job &item = *m_model.find(key.job);
+    const step_spec &step = item.step(key.step);
+    if (step.mayMiss == 0) {
+        return true;
+    }
+    int away = 0;
+    for (task_key other = { key.job, key.occurrence, key.step, 0 }; other.index < step.count; ++other.index) {
+        away += other.index != key.index && !m_model.atWork(other) ? 1 : 0;
+    }
+    return away < step.mayMiss;
+}
+
+void upkeep_driver::show(wave_progress &progress)
+{
+    const bool wanted = progress.completed;
+    if (progress.showing || (wanted ? progress.shownCompleted : progress.shownRunning)) {
+        return;
+    }
+    progress.showing = true;
+    m_status.showWave(progress.wave.number, wanted,
+                      m_lifetime.guard([this, number = progress.wave.number, wanted](bool written, instant) {
+                          wave_progress &shown = m_waves[number];
+                          shown.showing = false;
+                          (wanted ? shown.shownCompleted : shown.shownRunning) = written;
+                      }));
+}
+
+} // namespace jujubespool
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -61,7 +61,7 @@
     if (news.wave) {
         m_waves[news.wave->number] = *news.wave;
         if (m_manager) {
-            m_manager->onWave(*news.wave, now);
+            m_manager->onWave(*news.wave, m_wallClock());
         }
     }
 }
@@ -197,10 +197,10 @@
     if (m_config) {
         m_manager->setConfig(m_config, now);
     }
+    m_manager->restore(m_ledger, now, m_wallClock());
     for (const auto &[number, wave] : m_waves) {
-        m_manager->onWave(wave, now);
+        m_manager->onWave(wave, m_wallClock());
     }
-    m_manager->restore(m_ledger, now, m_wallClock());
     m_ledger.clear();
     m_onEvent(session_event::claimed, now);
 }
