Shorten leases and the self-fence; peers confirm an owner that the store does not answer

Cause: the successor of a lost owner waited 12.8 s for workers that it could not reach, so a task that lasts stayed away longer than 7 s of calm. Now 5.5 s: leases of 3.2 s, and an owner without a record stops after 2 s unless every peer says that it does not own the jobs. Test: aTaskOfALostWorkerRunsAgainSoonAfterItsOwnerWasLostToo.

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -32,9 +32,10 @@
     seconds statusKept{ 120 };
 };
 
-// An owner without a record for this long may have been replaced: it starts nothing and renews no lease. Its
-// successor waits that long too before it takes runs on workers that it cannot reach for lapsed.
-constexpr milliseconds SELF_FENCE{ 8000 };
+// An owner without a record for this long may have been replaced, unless all its peers say that they have not: it
+// starts nothing and renews no lease. Its successor waits that long too before it takes runs on workers that it
+// cannot reach for lapsed.
+constexpr milliseconds SELF_FENCE{ 2000 };
 
 // A part of a worker clock's speed that it may lack against ours.
 constexpr double SLOWEST_WORKER_CLOCK = 0.98;
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -63,6 +63,11 @@
     {
         m_onLost = std::move(call);
     }
+    // Asked when the store is silent: whether every other process says that it does not own the jobs.
+    void setPeerConfirmation(std::function<bool(instant now)> confirmed)
+    {
+        m_confirmedByPeers = std::move(confirmed);
+    }
     // Puts the ownership record again, so that others see that this owner works.
     void renewOwnership(const ledger_entry &record, instant now);
     instant lastDurableAt() const
@@ -111,6 +116,7 @@
     wall_ms m_wall = 0;
     instant m_lastForget;
     std::function<void(instant now)> m_onLost;
+    std::function<bool(instant now)> m_confirmedByPeers = [](instant) { return false; };
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr milliseconds LEASE_LENGTH{ 4500 };
+constexpr milliseconds LEASE_LENGTH{ 3200 };
 constexpr milliseconds LEASE_MARGIN{ 200 };
 
 } // namespace
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -333,7 +333,7 @@
 
 bool job_manager::ownsSurely(instant now) const
 {
-    return now - m_writer.lastDurableAt() < SELF_FENCE;
+    return now - m_writer.lastDurableAt() < SELF_FENCE || m_confirmedByPeers(now);
 }
 
 wall_ms job_manager::wallNow() const
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // How long a worker may wait for an end before it answers a look.
-constexpr milliseconds LOOK_WAIT{ 1000 };
+constexpr milliseconds LOOK_WAIT{ 800 };
 // Pause between looks at a worker that does not answer.
 constexpr milliseconds SILENT_LOOK_INTERVAL{ 300 };
 // A start is repeated this often before the run is stopped instead.
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -36,6 +36,11 @@
                   const process_identity &identity, std::function<wall_ms()> wallClock);
 
     void begin(event_callback onEvent);
+    // See job_manager::setPeerConfirmation().
+    void setPeerConfirmation(std::function<bool(instant now)> confirmed)
+    {
+        m_confirmedByPeers = std::move(confirmed);
+    }
     bool active() const
     {
         return m_active;
@@ -75,6 +80,7 @@
     process_identity m_identity;
     std::function<wall_ms()> m_wallClock;
     event_callback m_onEvent;
+    std::function<bool(instant now)> m_confirmedByPeers = [](instant) { return false; };
     feed_follower m_operators;
     feed_follower m_workers;
     std::map<std::string, std::string> m_ledger;
--- a/packages/manager/include/jujubespool/manager/peer_directory.h
+++ b/packages/manager/include/jujubespool/manager/peer_directory.h
@@ -19,6 +19,10 @@
     void noteMember(const std::string &node, const wire::member_image &image);
     void dropMember(const std::string &node);
     void noteHeard(std::uint64_t incarnation, instant now);
+    // The process says that it does not own the jobs.
+    void noteNotOwner(std::uint64_t incarnation, instant now);
+    // Every other process has said of late that it does not own the jobs.
+    bool nobodyElseOwns(instant now) const;
     void broadcast(wire::peer_message message);
     bool send(std::uint64_t incarnation, wire::peer_message message);
     // Place of this process in the order in which processes claim the ownership, among those that are heard.
@@ -32,6 +36,7 @@
         wire::member_image image;
         instant heardAt;
         bool heard = false;
+        std::optional<instant> notOwnerAt;
     };
     static bool suitsBetter(const wire::member_image &left, const wire::member_image &right);
 
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -170,6 +170,7 @@
 {
     m_election.notePeer(from, beat.suspects_owner(), now);
     if (beat.owner_incarnation() == 0) {
+        m_peers.noteNotOwner(from, now);
         return;
     }
     if (owns() && beat.epoch() > m_session->epoch()) {
@@ -244,6 +245,7 @@
 {
     m_log.write("claim-begun", { { "epoch_known", std::to_string(m_election.epoch()) }, { "rank", std::to_string(m_peers.rank(now)) } });
     m_session = std::make_unique<owner_session>(m_clients, m_clock, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
+    m_session->setPeerConfirmation([this](instant then) { return m_peers.nobodyElseOwns(then); });
     m_session->begin([this](session_event event, instant then) { onSessionEvent(event, then); });
 }
 
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -184,6 +184,7 @@
     m_manager = std::make_unique<job_manager>(gateways, m_clock, m_log, m_settings.bounds,
                                               ownership{ m_settings.node, m_epoch, claimSequence() });
     m_desk = std::make_unique<caller_desk>(*m_manager, m_clients.codec, m_log);
+    m_manager->setPeerConfirmation(m_confirmedByPeers);
     m_manager->onLost([this](instant then) {
         m_active = false;
         if (!m_ended) {
@@ -218,7 +219,7 @@
 
 void owner_session::handle(const http_call &call, instant now, const http_replier &reply)
 {
-    if (now - m_manager->lastDurableAt() > STALE_AFTER) {
+    if (now - m_manager->lastDurableAt() > STALE_AFTER && !m_confirmedByPeers(now)) {
         // Another owner may know better.
         reply({ STATUS_UNAVAILABLE, m_clients.codec.errorBody("the store does not answer"), "application/json", RETRY_AFTER_S });
         return;
--- a/packages/manager/src/peer_directory.cpp
+++ b/packages/manager/src/peer_directory.cpp
@@ -6,6 +6,13 @@
 
 namespace jujubespool {
 
+namespace {
+
+// A statement that a process does not own the jobs holds for this long; well below the self-fence.
+constexpr milliseconds NOT_OWNER_VALID{ 1200 };
+
+} // namespace
+
 peer_directory::peer_directory(peer_transport &link, std::uint64_t self, decision_log &log)
     : m_link(link)
     , m_self(self)
@@ -46,6 +53,23 @@
     }
 }
 
+void peer_directory::noteNotOwner(std::uint64_t incarnation, instant now)
+{
+    for (auto &[node, entry] : m_members) {
+        if (entry.image.incarnation() == incarnation) {
+            entry.notOwnerAt = now;
+        }
+    }
+}
+
+bool peer_directory::nobodyElseOwns(instant now) const
+{
+    return std::all_of(m_members.begin(), m_members.end(), [&](const auto &item) {
+        const member &entry = item.second;
+        return entry.image.incarnation() == m_self || (entry.notOwnerAt && now - *entry.notOwnerAt < NOT_OWNER_VALID);
+    });
+}
+
 void peer_directory::broadcast(wire::peer_message message)
 {
     message.set_from_session(m_self);
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -266,6 +266,13 @@
     m_feeds[feed::workers].push_back({ id, "listed" });
 }
 
+void fake_platform::clearRunningOn(const std::string &id)
+{
+    for (auto &[key, workers] : m_runningOn) {
+        workers.erase(id);
+    }
+}
+
 void fake_platform::unlistWorker(const std::string &id)
 {
     m_feeds[feed::workers].push_back({ id, std::nullopt });
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -73,6 +73,8 @@
     }
     // The worker starts another life under its id.
     void restartWorker(const std::string &id);
+    // The worker has crashed: nothing of it runs any more.
+    void clearRunningOn(const std::string &id);
     void unlistWorker(const std::string &id);
     void setConfig(const fleet_config &config);
     // How long a task's run takes; by default 200 ms.
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -174,3 +174,24 @@
     const job &done = item.sessions.at(owner)->manager()->model().jobs().at(FIRST_JOB);
     cr_assert_eq(done.state(), job_state::completed, "%s: %s", HARMS[*row].name, std::string(nameOf(done.state())).c_str());
 }
+
+// The worker and the owner are lost together, so that the successor hears of neither. Calm for seven seconds, a task
+// that lasts has to run again.
+Test(ownership, aTaskOfALostWorkerRunsAgainSoonAfterItsOwnerWasLostToo)
+{
+    fleet item;
+    item.platform.runTime = [](const task_key &) { return seconds(600); };
+    item.begin("entry-1", 11);
+    item.platform.advance(milliseconds(500));
+    cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
+    const std::string busy = item.platform.workerNamed("w1").running.empty() ? "worker-2" : "w1";
+    item.platform.workerNamed(busy).alive = false;
+    item.platform.workerNamed(busy).running.clear();
+    item.platform.clearRunningOn(busy);
+    item.frozen.insert("entry-1");
+    item.platform.advance(milliseconds(1300));
+    item.begin("entry-2", 22);
+    item.platform.advance(milliseconds(5700));
+    cr_assert_eq(item.platform.runningTasks(), 4);
+    cr_assert(item.platform.violations().empty());
+}
