Order hosts only while the ownership is sure

Cause: an owner in a data centre that was cut off woke up to hosts that looked free in its old view and switched them off; the platform fences orders for each host by itself, and the new owner had given none there. Ruled out: the new owner's view (its ledger had the runs).

--- a/packages/entry/src/crash_log.cpp
+++ b/packages/entry/src/crash_log.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <csignal>
 #include <execinfo.h>
+#include <fmt/format.h>
 #include <jujubespool/entry/logger.h>
 #include <unistd.h>
 
@@ -10,14 +11,22 @@
 
 namespace {
 
-constexpr int MAX_FRAMES = 40;
+constexpr int MAX_FRAMES = 24;
+constexpr std::size_t LINE_BYTES = 1024;
 
 void onCrash(int signal)
 {
     flushLog();
     std::array<void *, MAX_FRAMES> frames{};
     const int count = backtrace(frames.data(), MAX_FRAMES);
-    backtrace_symbols_fd(frames.data(), count, STDOUT_FILENO);
+    std::array<char, LINE_BYTES> line{};
+    auto end = fmt::format_to_n(line.data(), LINE_BYTES, "level=error event=crash signal={} frames=", signal).out;
+    for (int i = 0; i < count; ++i) {
+        end = fmt::format_to_n(end, line.data() + LINE_BYTES - end, "{}{}", i == 0 ? "" : ",", frames[static_cast<std::size_t>(i)]).out;
+    }
+    end = fmt::format_to_n(end, line.data() + LINE_BYTES - end, "\n").out;
+    const ssize_t written = write(STDOUT_FILENO, line.data(), static_cast<std::size_t>(end - line.data()));
+    static_cast<void>(written);
     // The default action was restored when the signal was delivered.
     raise(signal);
 }
--- a/packages/jobs/include/jujubespool/jobs/host_roster.h
+++ b/packages/jobs/include/jujubespool/jobs/host_roster.h
@@ -61,9 +61,15 @@
     {
         m_firstOrderAt = when;
     }
+    // Asked before each order: false when another process may own the jobs by now. The platform fences orders for
+    // each host by itself, so that a former owner's order would pass where its successor has given none.
+    void setOwnership(std::function<bool(instant now)> owns)
+    {
+        m_owns = std::move(owns);
+    }
     bool mayOrder(instant now) const
     {
-        return now >= m_firstOrderAt;
+        return now >= m_firstOrderAt && m_owns(now);
     }
 
 private:
@@ -94,6 +100,7 @@
     instant m_listNotBefore;
     instant m_firstOrderAt;
     std::function<void(instant now)> m_onFenced;
+    std::function<bool(instant now)> m_owns = [](instant) { return true; };
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -24,6 +24,7 @@
     , m_mover(m_model, m_roster)
 {
     m_writer.onFenced([this](instant now) { onFenced(now); });
+    m_roster.setOwnership([this](instant now) { return ownsSurely(now); });
     m_roster.onFenced([this](instant now) { onFenced(now); });
 }
 
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -152,10 +152,14 @@
     // host_gateway, advice_gateway, status_board
     void list(std::function<void(const host_list &, instant now)> done) override
     {
-        answer(LATENCY, host_list{ std::vector<host_entry>(), {} }, done);
+        answer(LATENCY, host_list{ platform.hosts, {} }, done);
     }
-    void move(const host_order &, const std::string &, host_gateway::order_callback done) override
+    void move(const host_order &order, const std::string &pool, host_gateway::order_callback done) override
     {
+        platform.hostOrders.emplace_back(order.holder, order.host);
+        for (host_entry &host : platform.hosts) {
+            host.pool = host.name == order.host ? pool : host.pool;
+        }
         answer(LATENCY, host_order_result{ host_order_end::done, {} }, done);
     }
     void upkeep(const host_order &, std::uint64_t, host_gateway::order_callback done) override
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -82,6 +82,9 @@
 
     platform_clients clientsOf(const std::string &process);
     fake_links &linksOf(const std::string &process);
+    // What the host service lists, and the orders that it was given: process and host.
+    std::vector<host_entry> hosts;
+    std::vector<std::pair<std::string, std::string>> hostOrders;
     // Broken promises, one line each.
     const std::vector<std::string> &violations() const
     {
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -195,3 +195,25 @@
     cr_assert_eq(item.platform.runningTasks(), 4);
     cr_assert(item.platform.violations().empty());
 }
+
+// The platform fences orders for each host by itself, so that a former owner's first order for a host passes.
+Test(ownership, anOwnerThatIsCutOffFromTheStoreOrdersNoMoves)
+{
+    fleet item;
+    fleet_config config = configWithOneQueue();
+    config.version = 2;
+    config.pools["pool"] = { "pool", true, false, {} };
+    config.pools["off"] = { "off", true, true, {} };
+    item.platform.setConfig(config);
+    for (const char *worker : { "w1", "worker-2" }) {
+        item.platform.hosts.push_back({ std::string("host-of-") + worker, "pool", host_condition::up, "a", {}, WORKER_SIZE, worker });
+    }
+    item.begin("entry-1", 11);
+    item.platform.advance(milliseconds(500));
+    cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
+    item.platform.linksOf("entry-1").storeDown = true;
+    item.platform.advance(milliseconds(2100));
+    const std::size_t before = item.platform.hostOrders.size();
+    item.platform.advance(seconds(20));
+    cr_assert_eq(item.platform.hostOrders.size(), before);
+}
