Retire dropped sessions; move lasting tasks off due hosts early; log each pool's state

Cause: (1) exit code 139: a session dropped for a higher epoch got the fenced answer of its last append and told the process, which had no session any more (found by the crash line's frames); (2) waves ended late: lasting tasks were evicted last, one by one, onto hosts that were due too. Ruled out: memory freed by evhttp or by ZeroMQ (frames: ledger_writer::finish, onSessionEvent).

--- a/packages/jobs/include/jujubespool/jobs/placement.h
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -30,6 +30,9 @@
 // The step's tasks would fit on the worker if it were empty.
 bool fitsEver(const worker &target, const step_spec &step);
 
+// The conditions besides the step's own count: label, size and, on the worker, room.
+bool couldTake(const worker &target, const placement_request &request, instant now);
+
 // Null when no worker of the pool has room now.
 worker *chooseWorker(worker_book &workers, const placement_request &request, instant now);
 
--- a/packages/jobs/include/jujubespool/jobs/upkeep_driver.h
+++ b/packages/jobs/include/jujubespool/jobs/upkeep_driver.h
@@ -4,8 +4,9 @@
 //     upkeep.setWave(wave, now, wall);
 //     upkeep.tick(now, wall);
 //
-// Hosts that run nothing go first. Others get no new work, their tasks end or move elsewhere within what their jobs
-// may miss, and only then is their upkeep ordered; no more of them are emptied at once than the deadline needs.
+// Hosts that run nothing go first. Tasks that last leave the others early, one after the other within what their jobs
+// may miss. Then a host gets no new work, what runs there ends, and only then is its upkeep ordered; no more hosts
+// are emptied at once than the deadline needs.
 // At most the wave's maximum are down at once.
 #pragma once
 
@@ -61,7 +62,8 @@
     };
     void drive(wave_progress &progress, instant now, wall_ms wall);
     void begin(wave_progress &progress, const host_entry &host, instant now);
-    void empty(worker &target, instant now);
+    void moveLastingAway(worker &target, instant now);
+    bool hasOtherPlace(const worker &from, const task_key &key, instant now) const;
     bool mayEvict(const task_key &key);
     void show(wave_progress &progress);
 
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -44,9 +44,9 @@
         const bool crowded = lastingMillis(target) + (step.fills ? 0 : step.each.cpuMillis)
             > static_cast<std::int64_t>(LASTING_SHARE * static_cast<double>(target.report.capacity.cpuMillis));
         const bool opensHost = crowded || lastingRuns(target) == 0;
-        return { failedHere, farFromData, opensHost ? 1 : 0, lastingRuns(target), -room };
+        return { failedHere || target.dueForUpkeep, farFromData, opensHost ? 1 : 0, lastingRuns(target), -room };
     }
-    return { failedHere, farFromData, 0, 0, room };
+    return { failedHere, farFromData, target.dueForUpkeep ? 1 : 0, 0, room };
 }
 
 } // namespace
@@ -65,21 +65,26 @@
     return labelled && need.fitsIn(target.report.capacity);
 }
 
-worker *chooseWorker(worker_book &workers, const placement_request &request, instant now)
+bool couldTake(const worker &target, const placement_request &request, instant now)
 {
     const step_spec &step = *request.step;
     resources need = step.each;
     need.cpuMillis = step.fills ? 0 : need.cpuMillis;
+    if (target.report.pool != request.pool || !mayTake(target, now) || !need.fitsIn(target.room()) || !fitsEver(target, step)) {
+        return false;
+    }
+    const bool wrongRack = !request.rack.empty() && target.rack() != request.rack;
+    const task_key &task = request.task;
+    const bool crowded = step.maxPerWorker > 0 && target.tasksOf(task.job, task.occurrence, task.step) >= step.maxPerWorker;
+    return !wrongRack && !crowded && (!request.permitted || request.permitted(target));
+}
+
+worker *chooseWorker(worker_book &workers, const placement_request &request, instant now)
+{
     worker *best = nullptr;
     preference bestPreference;
     for (auto &[id, target] : workers.all()) {
-        if (target.report.pool != request.pool || !mayTake(target, now) || !need.fitsIn(target.room()) || !fitsEver(target, step)) {
-            continue;
-        }
-        const bool wrongRack = !request.rack.empty() && target.rack() != request.rack;
-        const task_key &task = request.task;
-        const bool crowded = step.maxPerWorker > 0 && target.tasksOf(task.job, task.occurrence, task.step) >= step.maxPerWorker;
-        if (wrongRack || crowded || (request.permitted && !request.permitted(target))) {
+        if (!couldTake(target, request, now)) {
             continue;
         }
         const preference candidate = preferenceFor(target, request);
--- a/packages/jobs/src/pool_mover.cpp
+++ b/packages/jobs/src/pool_mover.cpp
@@ -7,8 +7,10 @@
 namespace {
 
 constexpr milliseconds DECISION_INTERVAL{ 150 };
+constexpr milliseconds LOG_INTERVAL{ 1000 };
 // Moves ordered in one decision, so that the platform's rate of orders is not exceeded.
 constexpr std::size_t MAX_MOVES_AT_ONCE = 8;
+constexpr std::int64_t MILLIS_PER_CORE = 1000;
 
 } // namespace
 
@@ -47,9 +49,10 @@
     return waiting;
 }
 
-pool_mover::pool_mover(fleet_model &model, host_roster &roster)
+pool_mover::pool_mover(fleet_model &model, host_roster &roster, decision_log &log)
     : m_model(model)
     , m_roster(roster)
+    , m_log(log)
 {
 }
 
@@ -80,7 +83,8 @@
         const bool draining = target != nullptr && (target->report.state == worker_state::draining || !target->listed);
         const bool unused = target == nullptr ? found->second.standby : target->runs.empty();
         const bool free = m_roster.orderable(host) && unused;
-        if (!draining) {
+        const bool leaving = target != nullptr && target->cordoned;
+        if (!draining && !leaving) {
             found->second.hosts.push_back({ name, host.capacity.cpuMillis, free });
         }
     }
@@ -108,6 +112,25 @@
     return list;
 }
 
+void pool_mover::logPools(const std::vector<sizer_pool> &pools, instant now)
+{
+    if (now - m_loggedAt < LOG_INTERVAL) {
+        return;
+    }
+    m_loggedAt = now;
+    for (const sizer_pool &pool : pools) {
+        const auto free = std::count_if(pool.hosts.begin(), pool.hosts.end(), [](const sizer_host &host) { return host.free; });
+        m_log.write("pool",
+                    { { "pool", pool.name },
+                      { "hosts", std::to_string(pool.hosts.size()) },
+                      { "free", std::to_string(free) },
+                      { "arriving", std::to_string(pool.arriving) },
+                      { "used_cores", std::to_string(pool.usedMillis / MILLIS_PER_CORE) },
+                      { "waiting_cores", std::to_string(pool.waitingMillis / MILLIS_PER_CORE) },
+                      { "wanted_cores", std::to_string(m_sizer.wantedMillis(pool.name) / MILLIS_PER_CORE) } });
+    }
+}
+
 void pool_mover::tick(instant now)
 {
     if (!m_model.configured() || !m_roster.listed() || now < m_notBefore || !m_roster.mayOrder(now)) {
@@ -115,7 +138,9 @@
     }
     m_notBefore = now + DECISION_INTERVAL;
     std::size_t ordered = 0;
-    for (const host_move &move : m_sizer.decide(view(), now)) {
+    const std::vector<sizer_pool> pools = view();
+    logPools(pools, now);
+    for (const host_move &move : m_sizer.decide(pools, now)) {
         if (ordered < MAX_MOVES_AT_ONCE && !m_roster.moveRefused(move.host, move.toPool)) {
             ++ordered;
             m_roster.move(move.host, move.toPool, now);
--- a/packages/jobs/src/upkeep_driver.cpp
+++ b/packages/jobs/src/upkeep_driver.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/jobs/upkeep_driver.h>
 
 #include <algorithm>
+#include <jujubespool/jobs/placement.h>
 #include <tuple>
 
 namespace jujubespool {
@@ -8,9 +9,9 @@
 namespace {
 
 // Time that a host spends being emptied and being seen again, besides its upkeep.
-constexpr milliseconds EMPTYING_TIME{ 1500 };
+constexpr milliseconds EMPTYING_TIME{ 2500 };
 // The last part of the deadline is left as a reserve.
-constexpr milliseconds DEADLINE_RESERVE{ 3000 };
+constexpr milliseconds DEADLINE_RESERVE{ 4000 };
 
 } // namespace
 
@@ -104,7 +105,10 @@
             continue;
         }
         ++left;
-        const worker *target = m_roster.workerOn(*host);
+        worker *target = m_roster.workerOn(*host);
+        if (target != nullptr) {
+            target->dueForUpkeep = true;
+        }
         if (!m_roster.orderable(*host)) {
             continue;
         }
@@ -141,10 +145,8 @@
     for (const auto &[fresh, runs, host] : loaded) {
         worker &target = *m_roster.workerOn(*host);
         target.cordoned = wanted > 0 || target.cordoned;
-        if (target.cordoned) {
-            --wanted;
-            this->empty(target, now);
-        }
+        wanted -= target.cordoned ? 1 : 0;
+        moveLastingAway(target, now);
     }
 }
 
@@ -161,7 +163,7 @@
         now);
 }
 
-void upkeep_driver::empty(worker &target, instant now)
+void upkeep_driver::moveLastingAway(worker &target, instant now)
 {
     std::vector<task_key> lasting;
     for (const auto &[key, run] : target.runs) {
@@ -170,13 +172,23 @@
         }
     }
     for (const task_key &key : lasting) {
-        if (mayEvict(key)) {
+        if (mayEvict(key) && hasOtherPlace(target, key, now)) {
             m_log.write("run-evicted", { { "task", key.text() }, { "worker", target.report.id } });
             m_runs.stop(key, now);
         }
     }
 }
 
+bool upkeep_driver::hasOtherPlace(const worker &from, const task_key &key, instant now) const
+{
+    const step_spec &step = m_model.find(key.job)->step(key.step);
+    const placement_request request{ key, &step, from.report.pool, {}, {}, {} };
+    const auto &workers = m_model.workers().all();
+    return std::any_of(workers.begin(), workers.end(), [&](const auto &item) {
+        return item.first != from.report.id && !item.second.dueForUpkeep && couldTake(item.second, request, now);
+    });
+}
+
 bool upkeep_driver::mayEvict(const task_key &key)
 {
     job &item = *m_model.find(key.job);
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -41,6 +41,12 @@
     {
         m_confirmedByPeers = std::move(confirmed);
     }
+    // Ends the session without telling: it is about to be dropped.
+    void retire()
+    {
+        m_ended = true;
+        m_active = false;
+    }
     bool active() const
     {
         return m_active;
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -268,6 +268,7 @@
 void manager_process::dropSession(instant)
 {
     m_router.clearLocal();
+    m_session->retire();
     // The session is on the stack of its own callback; it ends after it.
     m_loop.after(milliseconds(0), [session = std::shared_ptr<owner_session>(std::move(m_session))] {});
 }
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -217,3 +217,18 @@
     item.platform.advance(seconds(20));
     cr_assert_eq(item.platform.hostOrders.size(), before);
 }
+
+// A session that was dropped for a higher epoch may still get the answer of its last append.
+Test(ownership, aRetiredSessionTellsNothingMore)
+{
+    fleet item;
+    item.begin("entry-1", 11);
+    item.platform.advance(milliseconds(500));
+    item.begin("entry-2", 22);
+    item.platform.advance(milliseconds(100));
+    item.sessions.at("entry-1")->retire();
+    const std::size_t before = item.events["entry-1"].size();
+    item.platform.advance(seconds(3));
+    cr_assert(item.sessions.at("entry-2")->active());
+    cr_assert_eq(item.events["entry-1"].size(), before);
+}
