Divide a fleet that is too small among its pools; count late work by a part

Now: wants are scaled to the fleet, free hosts go to the poorest pool, richer pools release hosts as their tasks end; work of late jobs counts 0.3.

--- a/packages/jobs/include/jujubespool/jobs/pool_mover.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_mover.h
@@ -14,16 +14,17 @@
 public:
     pool_mover(fleet_model &model, host_roster &roster, decision_log &log);
 
-    void tick(instant now);
+    void tick(instant now, wall_ms wall);
     const pool_sizer &sizer() const
     {
         return m_sizer;
     }
 
 private:
-    std::vector<sizer_pool> view() const;
+    std::vector<sizer_pool> view(wall_ms wall) const;
+    void release(const std::vector<std::string> &hosts);
     void logPools(const std::vector<sizer_pool> &pools, instant now);
-    void addLoad(std::map<std::string, sizer_pool> &pools) const;
+    void addLoad(std::map<std::string, sizer_pool> &pools, wall_ms wall) const;
     void addHosts(std::map<std::string, sizer_pool> &pools) const;
 
     fleet_model &m_model;
@@ -34,7 +35,14 @@
     instant m_loggedAt;
 };
 
-// Processors for which ready tasks of each pool wait, as far as their teams' limits allow them.
-std::map<std::string, std::int64_t> waitingMillisByPool(const fleet_model &model);
+// Processors for which ready tasks of a pool wait, as far as their teams' limits allow them.
+struct waiting_load
+{
+    std::int64_t onTimeMillis = 0;
+    // Of jobs that cannot be on time any more.
+    std::int64_t lateMillis = 0;
+};
+
+std::map<std::string, waiting_load> waitingByPool(const fleet_model &model, wall_ms wall);
 
 } // namespace jujubespool
--- a/packages/jobs/include/jujubespool/jobs/pool_sizer.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_sizer.h
@@ -1,12 +1,13 @@
 // Decides which hosts move between pools, and which are switched off.
 //
 //     pool_sizer sizer;
-//     for (const host_move &move : sizer.decide(pools, now)) { ... }
+//     const sizer_decision decision = sizer.decide(pools, now);
 //
 // Answers loads that come by turns: each queue asks several times its mean for some seconds and little in between.
 // A pool that needs more gets hosts that are switched off or that run nothing in other pools; hosts that have run
 // nothing for a while are switched off. Once a pool has had a peak, the first rise of the next one brings hosts
-// for the whole of it.
+// for the whole of it. When the fleet is too small for all, each pool gets its part, and pools that hold more than
+// theirs release hosts as their tasks end.
 #pragma once
 
 #include <jujubespool/core/time.h>
@@ -22,6 +23,9 @@
     std::int64_t cpuMillis = 0;
     // Runs nothing and has no order on its way.
     bool free = false;
+    // Runs only tasks that end soon.
+    bool releasable = false;
+    int runs = 0;
 };
 
 // A pool as the sizer sees it.
@@ -34,9 +38,11 @@
     // Hosts that are on their way here.
     int arriving = 0;
     std::int64_t arrivingCpuMillis = 0;
-    // Processors in use, and those for which tasks wait.
+    // Processors in use.
     std::int64_t usedMillis = 0;
+    // Processors for which tasks wait whose jobs can be on time, and those of jobs that cannot.
     std::int64_t waitingMillis = 0;
+    std::int64_t lateMillis = 0;
 };
 
 struct host_move
@@ -47,10 +53,17 @@
     bool operator==(const host_move &other) const = default;
 };
 
+struct sizer_decision
+{
+    std::vector<host_move> moves;
+    // Hosts that take no new work, so that they become free for other pools.
+    std::vector<std::string> released;
+};
+
 class pool_sizer
 {
 public:
-    std::vector<host_move> decide(const std::vector<sizer_pool> &pools, instant now);
+    sizer_decision decide(const std::vector<sizer_pool> &pools, instant now);
     // Processors that the pool should have.
     std::int64_t wantedMillis(const std::string &pool) const;
 
@@ -59,14 +72,22 @@
     {
         // Largest need of late, which falls slowly.
         double peakMillis = 0;
-        // Need over which the pool does not shrink.
+        // Need below which the pool does not shrink.
         double heldMillis = 0;
         std::int64_t wantedMillis = 0;
-        bool rising = false;
         std::map<std::string, instant> freeSince;
     };
+    struct balance
+    {
+        std::map<std::string, std::int64_t> capacity;
+        std::map<std::string, bool> given;
+    };
     void updateNeed(const sizer_pool &pool, duration elapsed, instant now);
-    static std::int64_t capacityOf(const sizer_pool &pool);
+    void divideAmongAll(const std::vector<sizer_pool> &pools, const balance &now);
+    void fillDeficits(const std::vector<sizer_pool> &pools, balance &now, sizer_decision &decision);
+    void switchOff(const std::vector<sizer_pool> &pools, balance &state, sizer_decision &decision, instant now);
+    void release(const std::vector<sizer_pool> &pools, balance &state, sizer_decision &decision);
+    bool mayGive(const sizer_pool &pool, const sizer_host &host, balance &state);
 
     std::map<std::string, history> m_pools;
     instant m_lastDecision;
--- a/packages/jobs/include/jujubespool/jobs/worker_book.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_book.h
@@ -88,6 +88,8 @@
     milliseconds avoidStep{ 0 };
     // No new work: the host is due for upkeep or is to move.
     bool cordoned = false;
+    // No new work: another pool needs the host more.
+    bool released = false;
     // The host has to be emptied for its upkeep some time.
     bool dueForUpkeep = false;
     int failuresInRow = 0;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -221,7 +221,7 @@
     if (!m_resigned) {
         m_roster.refresh(now);
         m_upkeep.tick(now, wall);
-        m_mover.tick(now);
+        m_mover.tick(now, wall);
     }
     m_runs.tick(now);
     if (now - m_lastForget > FORGET_INTERVAL) {
--- a/packages/jobs/src/pool_mover.cpp
+++ b/packages/jobs/src/pool_mover.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-std::map<std::string, std::int64_t> waitingMillisByPool(const fleet_model &model)
+std::map<std::string, waiting_load> waitingByPool(const fleet_model &model, wall_ms wall)
 {
-    std::map<std::string, std::int64_t> waiting;
+    std::map<std::string, waiting_load> waiting;
     std::map<std::string, std::int64_t> byTeam;
     for (const std::string &id : model.live()) {
         const job &item = model.jobs().at(id);
@@ -44,7 +44,8 @@
             millis = std::clamp<std::int64_t>(millis, 0, std::max<std::int64_t>(0, left));
             byTeam[team->first] += millis;
         }
-        waiting[queue->pool] += millis;
+        waiting_load &load = waiting[queue->pool];
+        (rankOf(item, *queue, wall).late ? load.lateMillis : load.onTimeMillis) += millis;
     }
     return waiting;
 }
@@ -56,12 +57,13 @@
 {
 }
 
-void pool_mover::addLoad(std::map<std::string, sizer_pool> &pools) const
+void pool_mover::addLoad(std::map<std::string, sizer_pool> &pools, wall_ms wall) const
 {
-    for (const auto &[pool, millis] : waitingMillisByPool(m_model)) {
+    for (const auto &[pool, load] : waitingByPool(m_model, wall)) {
         const auto found = pools.find(pool);
         if (found != pools.end()) {
-            found->second.waitingMillis = millis;
+            found->second.waitingMillis = load.onTimeMillis;
+            found->second.lateMillis = load.lateMillis;
         }
     }
     for (const auto &[id, target] : m_model.workers().all()) {
@@ -84,8 +86,11 @@
         const bool unused = target == nullptr ? found->second.standby : target->runs.empty();
         const bool free = m_roster.orderable(host) && unused;
         const bool leaving = target != nullptr && target->cordoned;
+        const bool lasting = target != nullptr
+            && std::any_of(target->runs.begin(), target->runs.end(), [](const auto &item) { return item.second.lasting; });
         if (!draining && !leaving) {
-            found->second.hosts.push_back({ name, host.capacity.cpuMillis, free });
+            const int runs = target == nullptr ? 0 : static_cast<int>(target->runs.size());
+            found->second.hosts.push_back({ name, host.capacity.cpuMillis, free, m_roster.orderable(host) && !lasting, runs });
         }
     }
     for (auto &[name, pool] : pools) {
@@ -96,7 +101,7 @@
     }
 }
 
-std::vector<sizer_pool> pool_mover::view() const
+std::vector<sizer_pool> pool_mover::view(wall_ms wall) const
 {
     std::map<std::string, sizer_pool> pools;
     for (const auto &[name, config] : m_model.config().pools) {
@@ -104,7 +109,7 @@
         pools[name].standby = config.standby;
     }
     addHosts(pools);
-    addLoad(pools);
+    addLoad(pools, wall);
     std::vector<sizer_pool> list;
     for (auto &[name, pool] : pools) {
         list.push_back(std::move(pool));
@@ -127,20 +132,37 @@
                       { "arriving", std::to_string(pool.arriving) },
                       { "used_cores", std::to_string(pool.usedMillis / MILLIS_PER_CORE) },
                       { "waiting_cores", std::to_string(pool.waitingMillis / MILLIS_PER_CORE) },
+                      { "late_cores", std::to_string(pool.lateMillis / MILLIS_PER_CORE) },
                       { "wanted_cores", std::to_string(m_sizer.wantedMillis(pool.name) / MILLIS_PER_CORE) } });
     }
 }
 
-void pool_mover::tick(instant now)
+void pool_mover::release(const std::vector<std::string> &hosts)
+{
+    for (auto &[id, target] : m_model.workers().all()) {
+        target.released = false;
+    }
+    for (const std::string &name : hosts) {
+        const host_entry *host = m_roster.find(name);
+        worker *target = host == nullptr ? nullptr : m_roster.workerOn(*host);
+        if (target != nullptr) {
+            target->released = true;
+        }
+    }
+}
+
+void pool_mover::tick(instant now, wall_ms wall)
 {
     if (!m_model.configured() || !m_roster.listed() || now < m_notBefore || !m_roster.mayOrder(now)) {
         return;
     }
     m_notBefore = now + DECISION_INTERVAL;
     std::size_t ordered = 0;
-    const std::vector<sizer_pool> pools = view();
+    const std::vector<sizer_pool> pools = view(wall);
     logPools(pools, now);
-    for (const host_move &move : m_sizer.decide(pools, now)) {
+    const sizer_decision decision = m_sizer.decide(pools, now);
+    release(decision.released);
+    for (const host_move &move : decision.moves) {
         if (ordered < MAX_MOVES_AT_ONCE && !m_roster.moveRefused(move.host, move.toPool)) {
             ++ordered;
             m_roster.move(move.host, move.toPool, now);
--- a/packages/jobs/src/pool_sizer.cpp
+++ b/packages/jobs/src/pool_sizer.cpp
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace jujubespool {
 
 namespace {
 
 // Room beyond the need: tasks do not fill hosts without gaps, and a rise is seen late.
-constexpr double HEADROOM = 1.25;
+constexpr double HEADROOM = 1.2;
+// Late work still counts by this part, so that it is done in the end.
+constexpr double LATE_SHARE = 0.3;
 // A peak is forgotten by half in this time.
 constexpr double PEAK_HALF_LIFE_S = 30;
 // What the pool needed lately still counts, falling by half in this time.
@@ -16,17 +19,17 @@
 // Part of the last peak at which a rise counts as the next one, and the part of it that is then provided.
 constexpr double RISE_SHARE = 0.3;
 constexpr double PROVIDED_SHARE = 0.8;
-// A host that has been free for so long may be switched off: two moves cost about as much as it does meanwhile.
+// A host that has been free for so long is switched off: two moves cost about as much as it does meanwhile.
 constexpr milliseconds FREE_BEFORE_OFF{ 1500 };
+// A pool releases hosts only to pools that have less than this part of its own supply.
+constexpr double RELEASE_RATIO = 0.7;
 
 double halved(double value, duration elapsed, double halfLifeS)
 {
     return value * std::exp2(-static_cast<double>(elapsed.count()) / 1e6 / halfLifeS);
 }
 
-} // namespace
-
-std::int64_t pool_sizer::capacityOf(const sizer_pool &pool)
+std::int64_t capacityOf(const sizer_pool &pool)
 {
     std::int64_t capacity = pool.arrivingCpuMillis;
     for (const sizer_host &host : pool.hosts) {
@@ -35,6 +38,8 @@
     return capacity;
 }
 
+} // namespace
+
 std::int64_t pool_sizer::wantedMillis(const std::string &pool) const
 {
     const auto found = m_pools.find(pool);
@@ -44,12 +49,12 @@
 void pool_sizer::updateNeed(const sizer_pool &pool, duration elapsed, instant now)
 {
     history &past = m_pools[pool.name];
-    const auto need = static_cast<double>(pool.usedMillis + pool.waitingMillis);
-    past.rising = need > past.heldMillis;
+    const double need = static_cast<double>(pool.usedMillis + pool.waitingMillis) + LATE_SHARE * static_cast<double>(pool.lateMillis);
+    const bool rising = need > past.heldMillis;
     past.peakMillis = std::max(need, halved(past.peakMillis, elapsed, PEAK_HALF_LIFE_S));
     past.heldMillis = std::max(need, halved(past.heldMillis, elapsed, HELD_HALF_LIFE_S));
     double wanted = past.heldMillis * HEADROOM;
-    if (past.rising && need > past.peakMillis * RISE_SHARE) {
+    if (rising && need > past.peakMillis * RISE_SHARE) {
         wanted = std::max(wanted, past.peakMillis * PROVIDED_SHARE * HEADROOM);
     }
     past.wantedMillis = static_cast<std::int64_t>(wanted);
@@ -64,22 +69,31 @@
     past.freeSince = std::move(freeSince);
 }
 
-std::vector<host_move> pool_sizer::decide(const std::vector<sizer_pool> &pools, instant now)
+void pool_sizer::divideAmongAll(const std::vector<sizer_pool> &pools, const balance &now)
 {
-    const duration elapsed = m_lastDecision == instant() ? duration(0) : now - m_lastDecision;
-    m_lastDecision = now;
-    std::map<std::string, std::int64_t> capacity;
-    const sizer_pool *standby = nullptr;
+    double wanted = 0;
+    double capacity = 0;
     for (const sizer_pool &pool : pools) {
-        updateNeed(pool, elapsed, now);
-        capacity[pool.name] = capacityOf(pool);
-        standby = pool.standby ? &pool : standby;
+        wanted += static_cast<double>(m_pools[pool.name].wantedMillis);
+        capacity += static_cast<double>(now.capacity.at(pool.name));
     }
-    std::vector<host_move> moves;
-    if (!m_used) {
-        return moves;
+    if (wanted <= capacity || wanted <= 0) {
+        return;
     }
-    // What may be given away: hosts that are off first, then free hosts of pools that have more than they want.
+    for (const sizer_pool &pool : pools) {
+        std::int64_t &part = m_pools[pool.name].wantedMillis;
+        part = static_cast<std::int64_t>(static_cast<double>(part) * capacity / wanted);
+    }
+}
+
+bool pool_sizer::mayGive(const sizer_pool &pool, const sizer_host &host, balance &state)
+{
+    return pool.standby || state.capacity[pool.name] - host.cpuMillis >= m_pools[pool.name].wantedMillis;
+}
+
+void pool_sizer::fillDeficits(const std::vector<sizer_pool> &pools, balance &state, sizer_decision &decision)
+{
+    // Hosts that are off go first, then free hosts of pools that have more than they want.
     std::vector<std::pair<const sizer_pool *, const sizer_host *>> givers;
     for (const bool off : { true, false }) {
         for (const sizer_pool &pool : pools) {
@@ -90,31 +104,100 @@
             }
         }
     }
-    const auto spare = [&](const sizer_pool &pool, const sizer_host &host) {
-        return pool.standby || capacity[pool.name] - host.cpuMillis >= m_pools[pool.name].wantedMillis;
+    std::vector<const sizer_pool *> takers;
+    for (const sizer_pool &pool : pools) {
+        if (!pool.standby) {
+            takers.push_back(&pool);
+        }
+    }
+    const auto supply = [&](const sizer_pool *pool) {
+        const std::int64_t wanted = std::max<std::int64_t>(m_pools[pool->name].wantedMillis, 1);
+        return wanted == 1 ? 1.0 : static_cast<double>(state.capacity[pool->name]) / static_cast<double>(wanted);
     };
-    std::map<std::string, bool> given;
+    for (const auto &[giver, host] : givers) {
+        const auto poorest = std::min_element(takers.begin(), takers.end(),
+                                              [&](const auto *left, const auto *right) { return supply(left) < supply(right); });
+        if (poorest == takers.end() || supply(*poorest) >= 1) {
+            return;
+        }
+        if (*poorest != giver && mayGive(*giver, *host, state)) {
+            state.given[host->name] = true;
+            state.capacity[giver->name] -= host->cpuMillis;
+            state.capacity[(*poorest)->name] += host->cpuMillis;
+            decision.moves.push_back({ host->name, (*poorest)->name });
+        }
+    }
+}
+
+void pool_sizer::switchOff(const std::vector<sizer_pool> &pools, balance &state, sizer_decision &decision, instant now)
+{
+    const auto standby = std::find_if(pools.begin(), pools.end(), [](const sizer_pool &pool) { return pool.standby; });
+    if (standby == pools.end()) {
+        return;
+    }
     for (const sizer_pool &pool : pools) {
-        for (const auto &[giver, host] : givers) {
-            if (pool.standby || capacity[pool.name] >= m_pools[pool.name].wantedMillis) {
-                break;
-            }
-            if (giver != &pool && !given[host->name] && spare(*giver, *host)) {
-                given[host->name] = true;
-                capacity[giver->name] -= host->cpuMillis;
-                capacity[pool.name] += host->cpuMillis;
-                moves.push_back({ host->name, pool.name });
+        for (const sizer_host &host : pool.hosts) {
+            const bool idle = !pool.standby && host.free && !state.given[host.name];
+            if (idle && now - m_pools[pool.name].freeSince[host.name] >= FREE_BEFORE_OFF && mayGive(pool, host, state)) {
+                state.capacity[pool.name] -= host.cpuMillis;
+                decision.moves.push_back({ host.name, standby->name });
             }
         }
     }
-    for (const auto &[giver, host] : givers) {
-        const bool longFree = !giver->standby && now - m_pools[giver->name].freeSince[host->name] >= FREE_BEFORE_OFF;
-        if (standby != nullptr && longFree && !given[host->name] && spare(*giver, *host)) {
-            capacity[giver->name] -= host->cpuMillis;
-            moves.push_back({ host->name, standby->name });
+}
+
+void pool_sizer::release(const std::vector<sizer_pool> &pools, balance &state, sizer_decision &decision)
+{
+    double poorest = 1;
+    std::int64_t missing = 0;
+    for (const sizer_pool &pool : pools) {
+        const std::int64_t wanted = m_pools[pool.name].wantedMillis;
+        if (!pool.standby && wanted > state.capacity[pool.name]) {
+            poorest = std::min(poorest, static_cast<double>(state.capacity[pool.name]) / static_cast<double>(wanted));
+            missing += wanted - state.capacity[pool.name];
+        }
+    }
+    if (poorest >= RELEASE_RATIO) {
+        return;
+    }
+    for (const sizer_pool &pool : pools) {
+        std::vector<const sizer_host *> hosts;
+        for (const sizer_host &host : pool.hosts) {
+            if (!pool.standby && host.releasable && !host.free && !state.given[host.name]) {
+                hosts.push_back(&host);
+            }
         }
+        std::sort(hosts.begin(), hosts.end(), [](const sizer_host *left, const sizer_host *right) {
+            return std::tie(left->runs, left->name) < std::tie(right->runs, right->name);
+        });
+        for (const sizer_host *host : hosts) {
+            if (missing <= 0 || !mayGive(pool, *host, state)) {
+                break;
+            }
+            state.capacity[pool.name] -= host->cpuMillis;
+            missing -= host->cpuMillis;
+            decision.released.push_back(host->name);
+        }
+    }
+}
+
+sizer_decision pool_sizer::decide(const std::vector<sizer_pool> &pools, instant now)
+{
+    const duration elapsed = m_lastDecision == instant() ? duration(0) : now - m_lastDecision;
+    m_lastDecision = now;
+    balance state;
+    for (const sizer_pool &pool : pools) {
+        updateNeed(pool, elapsed, now);
+        state.capacity[pool.name] = capacityOf(pool);
+    }
+    sizer_decision decision;
+    if (m_used) {
+        divideAmongAll(pools, state);
+        fillDeficits(pools, state, decision);
+        switchOff(pools, state, decision, now);
+        release(pools, state, decision);
     }
-    return moves;
+    return decision;
 }
 
 } // namespace jujubespool
