Order hosts at once after a take-over; send callers away from processes that hear no owner

Cause: (1) a new owner left all hosts alone for 3 s although only hosts that its predecessor ordered lately matter: now each order is recorded first, and only those hosts wait; (2) a data centre that was cut off went on taking callers whom other data centres could serve; (3) work was held for 2.6 s while the store was silent. Ruled out: passing calls through the store (a cut data centre does not reach it either).

--- a/packages/jobs/include/jujubespool/jobs/host_roster.h
+++ b/packages/jobs/include/jujubespool/jobs/host_roster.h
@@ -32,7 +32,7 @@
     // The worker that runs on the host; null while none does.
     worker *workerOn(const host_entry &host) const;
     // In service, without an order on its way and not about to leave.
-    bool orderable(const host_entry &host) const;
+    bool orderable(const host_entry &host, instant now) const;
     bool busy(const std::string &host) const
     {
         return m_ordered.count(host) > 0;
@@ -56,20 +56,23 @@
     {
         m_onFenced = std::move(call);
     }
-    // Another owner may have ordered until just before: gives no orders until then.
-    void setFirstOrderAt(instant when)
-    {
-        m_firstOrderAt = when;
-    }
+    // A former owner has ordered the host at that time: it is left alone for the length of the hosts' lease.
+    void noteFormerOrder(const std::string &host, wall_ms orderedAt, wall_ms wall, instant now);
     // Asked before each order: false when another process may own the jobs by now. The platform fences orders for
     // each host by itself, so that a former owner's order would pass where its successor has given none.
     void setOwnership(std::function<bool(instant now)> owns)
     {
         m_owns = std::move(owns);
     }
+    // Records that the host is about to be ordered, and calls back when that is durable.
+    using order_recorder = std::function<void(const std::string &host, std::function<void(instant now)> recorded)>;
+    void setRecorder(order_recorder record)
+    {
+        m_record = std::move(record);
+    }
     bool mayOrder(instant now) const
     {
-        return now >= m_firstOrderAt && m_owns(now);
+        return m_owns(now);
     }
 
 private:
@@ -85,6 +88,8 @@
     void settleOrders(instant askedAt, instant now);
     void onAnswer(const std::string &host, const host_order_result &result, instant now);
     void cordon(const std::string &host, bool cordoned);
+    // Records the order and then sends it, unless the ownership has become unsure meanwhile.
+    void sendRecorded(const std::string &host, std::function<void()> send);
 
     fleet_model &m_model;
     host_gateway &m_gateway;
@@ -98,7 +103,9 @@
     bool m_listed = false;
     bool m_listing = false;
     instant m_listNotBefore;
-    instant m_firstOrderAt;
+    // Until when hosts are left alone that a former owner has ordered.
+    std::map<std::string, instant> m_leasedUntil;
+    order_recorder m_record;
     std::function<void(instant now)> m_onFenced;
     std::function<bool(instant now)> m_owns = [](instant) { return true; };
     lifetime m_lifetime;
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -114,6 +114,7 @@
     bool m_resigned = false;
     bool m_lost = false;
     wall_ms m_wall = 0;
+    instant m_tickedAt;
     instant m_lastForget;
     std::function<void(instant now)> m_onLost;
     std::function<bool(instant now)> m_confirmedByPeers = [](instant) { return false; };
--- a/packages/jobs/include/jujubespool/jobs/pool_mover.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_mover.h
@@ -21,11 +21,11 @@
     }
 
 private:
-    std::vector<sizer_pool> view(wall_ms wall) const;
+    std::vector<sizer_pool> view(instant now, wall_ms wall) const;
     void release(const std::vector<std::string> &hosts);
     void logPools(const std::vector<sizer_pool> &pools, instant now);
     void addLoad(std::map<std::string, sizer_pool> &pools, wall_ms wall) const;
-    void addHosts(std::map<std::string, sizer_pool> &pools) const;
+    void addHosts(std::map<std::string, sizer_pool> &pools, instant now) const;
 
     fleet_model &m_model;
     host_roster &m_roster;
--- a/packages/jobs/src/host_roster.cpp
+++ b/packages/jobs/src/host_roster.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds LIST_RETRY_DELAY{ 500 };
 // An order without an answer counts as carried out late until the list has been the same for this long.
 constexpr milliseconds DOUBT_TIME{ 4000 };
+// Clocks of two processes may differ by this much.
+constexpr milliseconds CLOCK_MARGIN{ 500 };
 
 } // namespace
 
@@ -87,10 +89,21 @@
     return host.worker.empty() ? nullptr : m_model.workers().find(host.worker);
 }
 
-bool host_roster::orderable(const host_entry &host) const
+void host_roster::noteFormerOrder(const std::string &host, wall_ms orderedAt, wall_ms wall, instant now)
+{
+    const milliseconds lease = m_model.bounds().hostLease + CLOCK_MARGIN;
+    const milliseconds passed(wall - std::min(wall, orderedAt));
+    if (passed < lease) {
+        m_leasedUntil[host] = now + lease - passed;
+    }
+}
+
+bool host_roster::orderable(const host_entry &host, instant now) const
 {
     const worker *target = workerOn(host);
-    return host.state == host_condition::up && !busy(host.name)
+    const auto leased = m_leasedUntil.find(host.name);
+    const bool left = leased == m_leasedUntil.end() || now >= leased->second;
+    return host.state == host_condition::up && left && !busy(host.name)
         && !(target != nullptr && target->report.state == worker_state::draining);
 }
 
@@ -125,8 +138,10 @@
     m_ordered[host] = { pool, now, false, {} };
     cordon(host, true);
     m_listNotBefore = std::min(m_listNotBefore, now + m_model.bounds().moveTime);
-    m_gateway.move({ host, m_holder, m_token }, pool,
-                   m_lifetime.guard([this, host](const host_order_result &result, instant then) { onAnswer(host, result, then); }));
+    sendRecorded(host, [this, host, pool] {
+        m_gateway.move({ host, m_holder, m_token }, pool,
+                       m_lifetime.guard([this, host](const host_order_result &result, instant then) { onAnswer(host, result, then); }));
+    });
 }
 
 void host_roster::upkeep(const std::string &host, std::uint64_t wave, upkeep_callback done, instant now)
@@ -134,8 +149,21 @@
     m_log.write("upkeep-ordered", { { "wave", std::to_string(wave) }, { "host", host } });
     m_ordered[host] = { {}, now, false, std::move(done) };
     cordon(host, true);
-    m_gateway.upkeep({ host, m_holder, m_token }, wave,
-                     m_lifetime.guard([this, host](const host_order_result &result, instant then) { onAnswer(host, result, then); }));
+    sendRecorded(host, [this, host, wave] {
+        m_gateway.upkeep({ host, m_holder, m_token }, wave,
+                         m_lifetime.guard([this, host](const host_order_result &result, instant then) { onAnswer(host, result, then); }));
+    });
+}
+
+void host_roster::sendRecorded(const std::string &host, std::function<void()> send)
+{
+    m_record(host, m_lifetime.guard([this, host, send = std::move(send)](instant now) {
+        if (mayOrder(now)) {
+            send();
+        } else {
+            onAnswer(host, { host_order_end::refused, { step::control, host, "the ownership is not sure" } }, now);
+        }
+    }));
 }
 
 void host_roster::onAnswer(const std::string &host, const host_order_result &result, instant now)
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -24,6 +24,12 @@
     , m_mover(m_model, m_roster, log)
 {
     m_writer.onFenced([this](instant now) { onFenced(now); });
+    m_roster.setRecorder([this](const std::string &host, std::function<void(instant now)> recorded) {
+        wire::host_order_image image;
+        image.set_ordered_ms(m_wall);
+        m_writer.put({ ledgerKey(ledger_kind::host, host), image.SerializeAsString() });
+        m_writer.whenDurable(std::move(recorded), m_tickedAt);
+    });
     m_roster.setOwnership([this](instant now) { return ownsSurely(now); });
     m_roster.onFenced([this](instant now) { onFenced(now); });
 }
@@ -42,15 +48,15 @@
         const ledger_key parsed = parseLedgerKey(key);
         wire::job_image image;
         wire::upkeep_image upkeep;
+        wire::host_order_image ordered;
         if (parsed.kind == ledger_kind::job && image.ParseFromString(value)) {
             restoreJob(image, leaseEnd, now);
         } else if (parsed.kind == ledger_kind::wave && upkeep.ParseFromString(value)) {
             m_upkeep.restore(std::stoull(parsed.name), upkeep);
+        } else if (parsed.kind == ledger_kind::host && ordered.ParseFromString(value)) {
+            m_roster.noteFormerOrder(parsed.name, ordered.ordered_ms(), wall, now);
         }
     }
-    if (owner != entries.end()) {
-        m_roster.setFirstOrderAt(now + m_model.bounds().hostLease);
-    }
     m_log.write("ownership-restored",
                 { { "entries", std::to_string(entries.size()) },
                   { "live_jobs", std::to_string(m_model.live().size()) },
@@ -208,6 +214,7 @@
 void job_manager::tick(instant now, wall_ms wall)
 {
     m_wall = wall;
+    m_tickedAt = now;
     if (m_lost) {
         return;
     }
--- a/packages/jobs/src/pool_mover.cpp
+++ b/packages/jobs/src/pool_mover.cpp
@@ -74,7 +74,7 @@
     }
 }
 
-void pool_mover::addHosts(std::map<std::string, sizer_pool> &pools) const
+void pool_mover::addHosts(std::map<std::string, sizer_pool> &pools, instant now) const
 {
     for (const auto &[name, host] : m_roster.hosts()) {
         const auto found = pools.find(host.pool);
@@ -84,13 +84,13 @@
         const worker *target = m_roster.workerOn(host);
         const bool draining = target != nullptr && (target->report.state == worker_state::draining || !target->listed);
         const bool unused = target == nullptr ? found->second.standby : target->runs.empty();
-        const bool free = m_roster.orderable(host) && unused;
+        const bool free = m_roster.orderable(host, now) && unused;
         const bool leaving = target != nullptr && target->cordoned;
         const bool lasting = target != nullptr
             && std::any_of(target->runs.begin(), target->runs.end(), [](const auto &item) { return item.second.lasting; });
         if (!draining && !leaving) {
             const int runs = target == nullptr ? 0 : static_cast<int>(target->runs.size());
-            found->second.hosts.push_back({ name, host.capacity.cpuMillis, free, m_roster.orderable(host) && !lasting, runs });
+            found->second.hosts.push_back({ name, host.capacity.cpuMillis, free, m_roster.orderable(host, now) && !lasting, runs });
         }
     }
     for (auto &[name, pool] : pools) {
@@ -101,14 +101,14 @@
     }
 }
 
-std::vector<sizer_pool> pool_mover::view(wall_ms wall) const
+std::vector<sizer_pool> pool_mover::view(instant now, wall_ms wall) const
 {
     std::map<std::string, sizer_pool> pools;
     for (const auto &[name, config] : m_model.config().pools) {
         pools[name].name = name;
         pools[name].standby = config.standby;
     }
-    addHosts(pools);
+    addHosts(pools, now);
     addLoad(pools, wall);
     std::vector<sizer_pool> list;
     for (auto &[name, pool] : pools) {
@@ -158,7 +158,7 @@
     }
     m_notBefore = now + DECISION_INTERVAL;
     std::size_t ordered = 0;
-    const std::vector<sizer_pool> pools = view(wall);
+    const std::vector<sizer_pool> pools = view(now, wall);
     logPools(pools, now);
     const sizer_decision decision = m_sizer.decide(pools, now);
     release(decision.released);
--- a/packages/jobs/src/upkeep_driver.cpp
+++ b/packages/jobs/src/upkeep_driver.cpp
@@ -109,7 +109,7 @@
         if (target != nullptr) {
             target->dueForUpkeep = true;
         }
-        if (!m_roster.orderable(*host)) {
+        if (!m_roster.orderable(*host, now)) {
             continue;
         }
         if (target == nullptr || target->runs.empty()) {
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -50,6 +50,8 @@
     void tick();
     void beat(instant now);
     void elect(instant now);
+    // Callers are served here: the owner is this process, or is heard.
+    bool serves(instant now) const;
     void readLedgerEnd();
     void beginClaim(instant now);
     void onSessionEvent(session_event event, instant now);
@@ -82,6 +84,7 @@
     bool m_readingLedger = false;
     std::uint64_t m_ownerSeen = 0;
     instant m_lastBeat;
+    instant m_servedAt;
     bool m_stopping = false;
     bool m_handedOver = false;
     instant m_stopAt;
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -17,6 +17,8 @@
 // The balancer needs about two seconds to send no more callers here.
 constexpr milliseconds STOP_LEAST{ 2600 };
 constexpr milliseconds STOP_LONGEST{ 5000 };
+// A process that cannot serve for this long sends callers elsewhere; a change of owner takes less.
+constexpr milliseconds UNSERVED_BEFORE_UNREADY{ 1500 };
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
 
@@ -82,7 +84,8 @@
         m_router.handle(call, answer, m_loop.now());
     };
     const auto serveReady = [this](const http_call &, const http_replier &reply) {
-        reply({ m_stopping ? STATUS_UNAVAILABLE : STATUS_OK, "{}" });
+        const bool ready = !m_stopping && m_loop.now() - m_servedAt < UNSERVED_BEFORE_UNREADY;
+        reply({ ready ? STATUS_OK : STATUS_UNAVAILABLE, "{}" });
     };
     const auto serveMetrics = [this](const http_call &, const http_replier &reply) {
         reply({ STATUS_OK, m_figures.text(), "text/plain" });
@@ -115,6 +118,7 @@
         m_session->tick(now);
     }
     beat(now);
+    m_servedAt = serves(now) ? now : m_servedAt;
     if (!m_stopping) {
         elect(now);
     }
@@ -208,6 +212,11 @@
     }
 }
 
+bool manager_process::serves(instant now) const
+{
+    return owns() ? m_session->storeSilentFor(now) < STORE_SUSPICION : m_election.hearsOwner(now);
+}
+
 void manager_process::readLedgerEnd()
 {
     if (m_readingLedger) {
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -16,6 +16,8 @@
 constexpr int CLAIM_ATTEMPTS = 4;
 // Without a record for this long, an owner cannot know whether it still is the owner.
 constexpr milliseconds STALE_AFTER{ 2500 };
+// A store that has not answered an append for this long is taken for away, and new work is refused.
+constexpr milliseconds STORE_SILENT_BEFORE_REFUSAL{ 700 };
 constexpr int STATUS_UNAVAILABLE = 503;
 constexpr unsigned RETRY_AFTER_S = 1;
 constexpr std::uint64_t CLAIM_SEQUENCES = 1ULL << 40;
@@ -219,7 +221,9 @@
 
 void owner_session::handle(const http_call &call, instant now, const http_replier &reply)
 {
-    if (now - m_manager->lastDurableAt() > STALE_AFTER && !m_confirmedByPeers(now)) {
+    const bool writes = call.method != "GET";
+    const bool stale = now - m_manager->lastDurableAt() > STALE_AFTER && !m_confirmedByPeers(now);
+    if (stale || (writes && m_manager->storeSilentFor(now) > STORE_SILENT_BEFORE_REFUSAL)) {
         // Another owner may know better.
         reply({ STATUS_UNAVAILABLE, m_clients.codec.errorBody("the store does not answer"), "application/json", RETRY_AFTER_S });
         return;
