Decide between two appends, also under a dense load

Now the writer calls back between appends. Also: chains of a job are worked out once, workers are indexed by pool in a pass, and ends on busy workers are collected for 25 ms.

--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -182,6 +182,13 @@
     bool closeFinished();
     bool hasStarted() const;
     bool hasAssigned() const;
+    // Longest chain of estimated work from the step to the end of the job, the step's own included.
+    milliseconds chainFrom(std::size_t step) const
+    {
+        return m_chains[step];
+    }
+    // Longest chain of the whole job.
+    milliseconds longestChain() const;
 
 private:
     template <typename Predicate> bool anyTask(Predicate predicate) const;
@@ -192,9 +199,10 @@
     wall_ms m_acceptedAt = 0;
     wall_ms m_endedAt = 0;
     std::map<int, occurrence_progress> m_occurrences;
+    std::vector<milliseconds> m_chains;
 };
 
-// Longest chain of estimated work from the step to the end of the job, the step's own included.
-milliseconds remainingChain(const std::vector<step_spec> &steps, int from);
+// Longest chain of estimated work from each step to the end of the job, the step's own included.
+std::vector<milliseconds> chainsOf(const std::vector<step_spec> &steps);
 
 } // namespace jujubespool
--- a/packages/jobs/include/jujubespool/jobs/ledger_writer.h
+++ b/packages/jobs/include/jujubespool/jobs/ledger_writer.h
@@ -51,6 +51,11 @@
     {
         return m_fenced;
     }
+    // Called between two appends: the next one takes what is put now.
+    void onBetweenAppends(std::function<void(instant now)> call)
+    {
+        m_onBetweenAppends = std::move(call);
+    }
     // Called when another owner has taken over.
     void onFenced(std::function<void(instant now)> call)
     {
@@ -77,6 +82,7 @@
     instant m_sentAt;
     instant m_lastDurableAt;
     std::function<void(instant now)> m_onFenced;
+    std::function<void(instant now)> m_onBetweenAppends = [](instant) {};
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/include/jujubespool/jobs/placement.h
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -1,6 +1,6 @@
 // Chooses the worker for one task.
 //
-//     worker *target = chooseWorker(model.workers(), request, now);
+//     worker *target = chooseWorker(workersOfThePool, request, now);
 //
 // Tasks that end are packed, so that whole workers stay free for large tasks and for switching off. Tasks that
 // last and tasks that fill are spread, because they disturb each other.
@@ -33,7 +33,7 @@
 // The conditions besides the step's own count: label, size and, on the worker, room.
 bool couldTake(const worker &target, const placement_request &request, instant now);
 
-// Null when no worker of the pool has room now.
-worker *chooseWorker(worker_book &workers, const placement_request &request, instant now);
+// Null when none of the workers has room now.
+worker *chooseWorker(const std::vector<worker *> &workers, const placement_request &request, instant now);
 
 } // namespace jujubespool
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -137,6 +137,7 @@
 {
     job item;
     item.m_request = request;
+    item.m_chains = chainsOf(request.steps);
     item.m_acceptedAt = now;
     if (!item.isTimed()) {
         item.addOccurrence(0);
@@ -170,6 +171,7 @@
         item.m_request.steps.push_back(jujubespool::fromImage(step));
         taskCount += step.count();
     }
+    item.m_chains = chainsOf(item.m_request.steps);
     item.m_state = static_cast<job_state>(std::min(image.state(), 4U));
     item.m_acceptedAt = image.accepted_ms();
     item.m_endedAt = image.ended_ms();
@@ -318,17 +320,22 @@
     return anyTask([](const task_progress &task) { return task.phase == task_phase::assigned; });
 }
 
-milliseconds remainingChain(const std::vector<step_spec> &steps, int from)
+std::vector<milliseconds> chainsOf(const std::vector<step_spec> &steps)
 {
     // Steps name earlier ones only, so that one pass from the end sees each chain.
     std::vector<milliseconds> longest(steps.size(), milliseconds(0));
-    for (std::size_t i = steps.size(); i-- > static_cast<std::size_t>(from);) {
+    for (std::size_t i = steps.size(); i-- > 0;) {
         longest[i] += steps[i].estimated;
         for (const int before : steps[i].after) {
             longest[static_cast<std::size_t>(before)] = std::max(longest[static_cast<std::size_t>(before)], longest[i]);
         }
     }
-    return longest[static_cast<std::size_t>(from)];
+    return longest;
+}
+
+milliseconds job::longestChain() const
+{
+    return m_chains.empty() ? milliseconds(0) : *std::max_element(m_chains.begin(), m_chains.end());
 }
 
 } // namespace jujubespool
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -24,6 +24,7 @@
     , m_mover(m_model, m_roster, log)
 {
     m_writer.onFenced([this](instant now) { onFenced(now); });
+    m_writer.onBetweenAppends([this](instant now) { settle(now); });
     m_roster.setRecorder([this](const std::string &host, std::function<void(instant now)> recorded) {
         wire::host_order_image image;
         image.set_ordered_ms(m_wall);
--- a/packages/jobs/src/ledger_writer.cpp
+++ b/packages/jobs/src/ledger_writer.cpp
@@ -81,6 +81,9 @@
         for (const durable_callback &call : calls) {
             call(now);
         }
+        if (!m_inFlight) {
+            m_onBetweenAppends(now);
+        }
         flush(now);
         return;
     }
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -79,17 +79,17 @@
     return !wrongRack && !crowded && (!request.permitted || request.permitted(target));
 }
 
-worker *chooseWorker(worker_book &workers, const placement_request &request, instant now)
+worker *chooseWorker(const std::vector<worker *> &workers, const placement_request &request, instant now)
 {
     worker *best = nullptr;
     preference bestPreference;
-    for (auto &[id, target] : workers.all()) {
-        if (!couldTake(target, request, now)) {
+    for (worker *target : workers) {
+        if (!couldTake(*target, request, now)) {
             continue;
         }
-        const preference candidate = preferenceFor(target, request);
+        const preference candidate = preferenceFor(*target, request);
         if (best == nullptr || candidate < bestPreference) {
-            best = &target;
+            best = target;
             bestPreference = candidate;
         }
     }
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -30,6 +30,11 @@
         , m_now(now)
         , m_result(result)
     {
+        for (auto &[id, target] : model.workers().all()) {
+            if (mayTake(target, now)) {
+                m_room[target.report.pool].workers.push_back(&target);
+            }
+        }
     }
 
     void schedule(job &item, const queue_config &queue)
@@ -44,6 +49,19 @@
     }
 
 private:
+    // The workers of a pool that take work, and what has not fitted on any of them in this pass.
+    struct pool_room
+    {
+        std::vector<worker *> workers;
+        std::vector<resources> tooLarge;
+
+        // Room only shrinks during a pass, so that what needs as much as an earlier task does not fit either.
+        bool knownFull(const step_spec &step) const
+        {
+            return !step.fills && std::any_of(tooLarge.begin(), tooLarge.end(), [&](const resources &failed) { return failed.fitsIn(step.each); });
+        }
+    };
+
     void scheduleStep(job &item, const queue_config &queue, task_key first)
     {
         const step_spec &step = item.step(first.step);
@@ -119,8 +137,16 @@
         }
         placement_request request = requestFor(item, queue, key);
         request.rack = rack;
-        worker *target = chooseWorker(m_model.workers(), request, m_now);
+        pool_room &room = m_room[queue.pool];
+        const bool plain = step.maxPerWorker == 0 && step.requiredLabel.empty() && rack.empty() && !queue.advice && !step.fills;
+        if (room.knownFull(step)) {
+            return false;
+        }
+        worker *target = chooseWorker(room.workers, request, m_now);
         if (target == nullptr) {
+            if (plain) {
+                room.tooLarge.push_back(step.each);
+            }
             return false;
         }
         std::string ticket;
@@ -184,6 +210,7 @@
     const advice_book &m_advice;
     instant m_now;
     schedule_result &m_result;
+    std::map<std::string, pool_room> m_room;
 };
 
 } // namespace
@@ -202,17 +229,14 @@
         return rank;
     }
     milliseconds left{ 0 };
-    milliseconds whole{ 0 };
-    for (std::size_t step = 0; step < steps.size(); ++step) {
-        whole = std::max(whole, remainingChain(steps, static_cast<int>(step)));
-    }
+    const milliseconds whole = item.longestChain();
     for (const auto &[number, occurrence] : item.occurrences()) {
         for (std::size_t step = 0; !occurrence.ended && step < steps.size(); ++step) {
             const int open = occurrence.open[step];
             const double cores = static_cast<double>(steps[step].each.cpuMillis) / MILLIS_PER_CORE;
             rank.coreSecondsLeft += open * cores * static_cast<double>(steps[step].estimated.count()) / 1e3;
             if (open > 0) {
-                left = std::max(left, remainingChain(steps, static_cast<int>(step)));
+                left = std::max(left, item.chainFrom(step));
             }
         }
     }
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -9,6 +9,9 @@
 
 // How long a worker may wait for an end before it answers a look.
 constexpr milliseconds LOOK_WAIT{ 800 };
+// On a worker with more runs than this, ends are collected for a while before the next look.
+constexpr std::size_t RUNS_LOOKED_AT_ONCE = 3;
+constexpr milliseconds ENDS_COLLECTED{ 25 };
 // Pause between looks at a worker that does not answer.
 constexpr milliseconds SILENT_LOOK_INTERVAL{ 300 };
 // A start is repeated this often before the run is stopped instead.
@@ -444,7 +447,8 @@
                                worker *recorded = m_model.workers().find(where.id);
                                if (recorded != nullptr && recorded->report.born == where.born) {
                                    recorded->endsRecorded = std::max(recorded->endsRecorded, highest);
-                                   recorded->holdNotBefore = then;
+                                   const bool busy = recorded->runs.size() > RUNS_LOOKED_AT_ONCE;
+                                   recorded->holdNotBefore = then + (busy ? ENDS_COLLECTED : milliseconds(0));
                                }
                            }),
                            now);
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -232,3 +232,20 @@
     cr_assert(item.sessions.at("entry-2")->active());
     cr_assert_eq(item.events["entry-1"].size(), before);
 }
+
+// Under a dense load some append is always on its way. Tasks have to be placed between two appends all the same.
+Test(ownership, placesTasksWhileJobsKeepComing)
+{
+    fleet item;
+    item.platform.workerNamed("w1").report.capacity = { 1000000, 1000000, 0 };
+    item.begin("entry-1", 11);
+    item.platform.advance(milliseconds(500));
+    constexpr int JOBS = 400;
+    for (int i = 0; i < JOBS; ++i) {
+        const std::string id = "00000000000" + std::to_string(10000 + i);
+        item.sessions.at("entry-1")->handle({ "POST", "h", QUEUE_PATH + id, {}, "1" }, item.platform.now(), [](const http_reply &) {});
+        item.platform.advance(milliseconds(2));
+    }
+    const int starts = item.platform.workerNamed("w1").starts + item.platform.workerNamed("worker-2").starts;
+    cr_assert(starts > JOBS * 9 / 10, "%d of %d", starts, JOBS);
+}
