--- a/packages/entry/src/crash_log.cpp
+++ b/packages/entry/src/crash_log.cpp
@@ -39,7 +39,9 @@
     std::array<void *, 1> frame{};
     backtrace(frame.data(), 1);
     for (const int signal : { SIGSEGV, SIGBUS, SIGABRT }) {
-        struct sigaction action{};
+        struct sigaction action
+        {
+        };
         action.sa_handler = onCrash;
         action.sa_flags = static_cast<int>(SA_RESETHAND | SA_NODEFER);
         sigaction(signal, &action, nullptr);
--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -95,6 +95,8 @@
     void touch(const std::string &id);
     // Jobs changed since the last call.
     std::set<std::string> takeChanged();
+    // Jobs ended since the last call.
+    std::vector<std::string> takeEnded();
 
     // Assigns a waiting task as its next run, or as the given run for members of a gang.
     int place(const task_key &key, worker &target, instant now, int run = 0);
@@ -122,6 +124,7 @@
     std::map<std::string, job> m_jobs;
     std::set<std::string> m_live;
     std::set<std::string> m_changed;
+    std::vector<std::string> m_ended;
     worker_book m_workers;
     team_usage m_usage;
 };
--- a/packages/jobs/include/jujubespool/jobs/host_roster.h
+++ b/packages/jobs/include/jujubespool/jobs/host_roster.h
@@ -107,7 +107,9 @@
     std::map<std::string, instant> m_leasedUntil;
     order_recorder m_record;
     std::function<void(instant now)> m_onFenced;
-    std::function<bool(instant now)> m_owns = [](instant) { return true; };
+    std::function<bool(instant now)> m_owns = [](instant) {
+        return true;
+    };
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -93,9 +93,9 @@
     void settle(instant now);
     void schedule(instant now);
     void writeChanged();
+    void noteEnded(const std::string &id);
     void ask(const advice_question &question);
     void stopRuns(const std::string &id, instant now);
-    void stopEnded(instant now);
     void forgetOld(wall_ms wall);
     void restoreJob(const wire::job_image &image, instant leaseEnd, instant now);
 
@@ -117,7 +117,9 @@
     instant m_tickedAt;
     instant m_lastForget;
     std::function<void(instant now)> m_onLost;
-    std::function<bool(instant now)> m_confirmedByPeers = [](instant) { return false; };
+    std::function<bool(instant now)> m_confirmedByPeers = [](instant) {
+        return false;
+    };
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/include/jujubespool/jobs/ledger_writer.h
+++ b/packages/jobs/include/jujubespool/jobs/ledger_writer.h
@@ -82,7 +82,8 @@
     instant m_sentAt;
     instant m_lastDurableAt;
     std::function<void(instant now)> m_onFenced;
-    std::function<void(instant now)> m_onBetweenAppends = [](instant) {};
+    std::function<void(instant now)> m_onBetweenAppends = [](instant) {
+    };
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -78,6 +78,11 @@
     return step.each;
 }
 
+std::vector<std::string> fleet_model::takeEnded()
+{
+    return std::exchange(m_ended, {});
+}
+
 int fleet_model::place(const task_key &key, worker &target, instant now, int run)
 {
     job &item = *find(key.job);
@@ -214,14 +219,14 @@
         return false;
     }
     const auto placed = target->runs.find(key);
-    return placed != target->runs.end() && placed->second.confirmed && !placed->second.stopping
-        && placed->second.progressPercent >= 100;
+    return placed != target->runs.end() && placed->second.confirmed && !placed->second.stopping && placed->second.progressPercent >= 100;
 }
 
 void fleet_model::endJob(job &item, job_state state, wall_ms wall)
 {
     item.setState(state, wall);
     m_live.erase(item.request().id);
+    m_ended.push_back(item.request().id);
     touch(item.request().id);
 }
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -294,12 +294,17 @@
     if (result.placements.empty()) {
         return;
     }
+    for (const placement &item : result.placements) {
+        if (item.run == 1 && item.task.step == 0 && item.task.index == 0) {
+            const job &started = *m_model.find(item.task.job);
+            m_log.observe("first_start", started.request().team, milliseconds(m_wall - std::min(m_wall, started.acceptedAt())));
+        }
+    }
     writeChanged();
     m_writer.whenDurable(
         [this, placements = result.placements](instant then) {
             for (const placement &item : placements) {
-                m_log.write("start",
-                            { { "task", item.task.text() }, { "run", std::to_string(item.run) }, { "worker", item.worker } });
+                m_log.write("start", { { "task", item.task.text() }, { "run", std::to_string(item.run) }, { "worker", item.worker } });
                 m_runs.start(item, then);
             }
         },
@@ -313,26 +318,39 @@
         if (item != nullptr) {
             m_writer.put({ ledgerKey(ledger_kind::job, id), item->toImage().SerializeAsString() });
         }
-        if (item != nullptr && item->ended()) {
-            m_log.write("job-changed", { { "job", id }, { "state", std::string(nameOf(item->state())) } });
-        }
-        if (item != nullptr && item->state() == job_state::failed) {
-            m_clock.after(milliseconds(0), m_lifetime.guard([this, id](instant now) { stopRuns(id, now); }));
-        }
+    }
+    for (const std::string &id : m_model.takeEnded()) {
+        noteEnded(id);
     }
     for (const auto &[number, image] : m_upkeep.takeChanged()) {
         m_writer.put({ ledgerKey(ledger_kind::wave, std::to_string(number)), image.SerializeAsString() });
     }
 }
 
+void job_manager::noteEnded(const std::string &id)
+{
+    const job *item = m_model.find(id);
+    if (item == nullptr) {
+        return;
+    }
+    const milliseconds age(m_wall - std::min(m_wall, item->acceptedAt()));
+    m_log.write("job-changed",
+                { { "job", id }, { "state", std::string(nameOf(item->state())) }, { "age_ms", std::to_string(age.count()) } });
+    m_log.count("jobs_ended_total", nameOf(item->state()));
+    if (item->state() == job_state::completed) {
+        m_log.observe("job", item->request().team, age);
+    } else if (item->state() == job_state::failed) {
+        m_clock.after(milliseconds(0), m_lifetime.guard([this, id](instant now) { stopRuns(id, now); }));
+    }
+}
+
 void job_manager::ask(const advice_question &question)
 {
     m_advice.noteAsked(question.step);
-    m_gateways.advice.ask(question.step, question.workers,
-                          m_lifetime.guard([this, question](const advice_result &result, instant now) {
-                              m_advice.noteAnswer(question, result, m_model.workers(), now);
-                              onProgress(now);
-                          }));
+    m_gateways.advice.ask(question.step, question.workers, m_lifetime.guard([this, question](const advice_result &result, instant now) {
+        m_advice.noteAnswer(question, result, m_model.workers(), now);
+        onProgress(now);
+    }));
 }
 
 void job_manager::onBadTicket(const task_key &key, const std::string &workerId)
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -53,8 +53,8 @@
 
 bool mayTake(const worker &target, instant now)
 {
-    return target.listed && target.report.state == worker_state::ready && target.looked && target.clockKnown && !target.cordoned && !target.released
-        && now >= target.avoidUntil;
+    return target.listed && target.report.state == worker_state::ready && target.looked && target.clockKnown && !target.cordoned
+        && !target.released && now >= target.avoidUntil;
 }
 
 bool fitsEver(const worker &target, const step_spec &step)
--- a/packages/jobs/src/pool_mover.cpp
+++ b/packages/jobs/src/pool_mover.cpp
@@ -39,8 +39,7 @@
         }
         const auto team = model.config().teams.find(item.request().team);
         if (team != model.config().teams.end() && team->second.limit.cpuMillis > 0) {
-            const std::int64_t left
-                = team->second.limit.cpuMillis - model.usage().of(team->first).cpuMillis - byTeam[team->first];
+            const std::int64_t left = team->second.limit.cpuMillis - model.usage().of(team->first).cpuMillis - byTeam[team->first];
             millis = std::clamp<std::int64_t>(millis, 0, std::max<std::int64_t>(0, left));
             byTeam[team->first] += millis;
         }
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -58,7 +58,8 @@
         // Room only shrinks during a pass, so that what needs as much as an earlier task does not fit either.
         bool knownFull(const step_spec &step) const
         {
-            return !step.fills && std::any_of(tooLarge.begin(), tooLarge.end(), [&](const resources &failed) { return failed.fitsIn(step.each); });
+            return !step.fills
+                && std::any_of(tooLarge.begin(), tooLarge.end(), [&](const resources &failed) { return failed.fitsIn(step.each); });
         }
     };
 
@@ -171,8 +172,8 @@
         }
         for (const std::string &rack : gangRacks(step, queue)) {
             const std::size_t before = m_result.placements.size();
-            const bool all = std::all_of(waiting.begin(), waiting.end(),
-                                         [&](const task_key &key) { return placeOne(item, queue, key, run, rack); });
+            const bool all
+                = std::all_of(waiting.begin(), waiting.end(), [&](const task_key &key) { return placeOne(item, queue, key, run, rack); });
             if (all) {
                 return;
             }
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -231,8 +231,8 @@
 {
     const stop_order order{ where, key, run, m_token };
     m_gateway.stop(order, m_lifetime.guard([this, key, run, where](const order_result &result, instant now) {
-                       onStopAnswer(key, run, where, result, now);
-                   }));
+        onStopAnswer(key, run, where, result, now);
+    }));
 }
 
 void run_supervisor::onStopAnswer(const task_key &key, int run, const worker_address &where, const order_result &result, instant now)
@@ -272,12 +272,12 @@
     run.pace = percent;
     const pace_order order{ addressOf(*target), key, run.run, percent, m_token };
     m_gateway.pace(order, m_lifetime.guard([this, key, number = run.run, percent](const order_result &result, instant) {
-                       placed_run *paced = runOf(key, number);
-                       if (paced != nullptr && result.end != order_end::accepted && paced->pace == percent) {
-                           // Not in force: the next look decides again.
-                           paced->pace = 100;
-                       }
-                   }));
+        placed_run *paced = runOf(key, number);
+        if (paced != nullptr && result.end != order_end::accepted && paced->pace == percent) {
+            // Not in force: the next look decides again.
+            paced->pace = 100;
+        }
+    }));
     static_cast<void>(now);
 }
 
@@ -318,7 +318,8 @@
     }
     target.holdInFlight = true;
     const worker_address where = order.worker;
-    m_gateway.look(order, m_lifetime.guard([this, where, now](const look_result &result, instant then) { onLook(where, now, result, then); }));
+    m_gateway.look(order,
+                   m_lifetime.guard([this, where, now](const look_result &result, instant then) { onLook(where, now, result, then); }));
 }
 
 void run_supervisor::onLook(const worker_address &where, instant sentAt, const look_result &result, instant now)
@@ -444,13 +445,13 @@
     // The next look tells the worker that the ends may be forgotten, so it waits for the record.
     target.holdNotBefore = now + milliseconds(60000);
     m_listener.whenDurable(m_lifetime.guard([this, where = addressOf(target), highest](instant then) {
-                               worker *recorded = m_model.workers().find(where.id);
-                               if (recorded != nullptr && recorded->report.born == where.born) {
-                                   recorded->endsRecorded = std::max(recorded->endsRecorded, highest);
-                                   const bool busy = recorded->runs.size() > RUNS_LOOKED_AT_ONCE;
-                                   recorded->holdNotBefore = then + (busy ? ENDS_COLLECTED : milliseconds(0));
-                               }
-                           }),
+        worker *recorded = m_model.workers().find(where.id);
+        if (recorded != nullptr && recorded->report.born == where.born) {
+            recorded->endsRecorded = std::max(recorded->endsRecorded, highest);
+            const bool busy = recorded->runs.size() > RUNS_LOOKED_AT_ONCE;
+            recorded->holdNotBefore = then + (busy ? ENDS_COLLECTED : milliseconds(0));
+        }
+    }),
                            now);
 }
 
--- a/packages/jobs/src/upkeep_driver.cpp
+++ b/packages/jobs/src/upkeep_driver.cpp
@@ -152,15 +152,14 @@
 
 void upkeep_driver::begin(wave_progress &progress, const host_entry &host, instant now)
 {
-    m_roster.upkeep(
-        host.name, progress.wave.number,
-        m_lifetime.guard([this, wave = progress.wave.number, name = host.name](host_order_end end, instant) {
-            if (end == host_order_end::done || end == host_order_end::wrong_wave || end == host_order_end::invalid) {
-                m_waves[wave].begun.insert(name);
-                m_changed.insert(wave);
-            }
-        }),
-        now);
+    m_roster.upkeep(host.name, progress.wave.number,
+                    m_lifetime.guard([this, wave = progress.wave.number, name = host.name](host_order_end end, instant) {
+                        if (end == host_order_end::done || end == host_order_end::wrong_wave || end == host_order_end::invalid) {
+                            m_waves[wave].begun.insert(name);
+                            m_changed.insert(wave);
+                        }
+                    }),
+                    now);
 }
 
 void upkeep_driver::moveLastingAway(worker &target, instant now)
@@ -210,12 +209,11 @@
         return;
     }
     progress.showing = true;
-    m_status.showWave(progress.wave.number, wanted,
-                      m_lifetime.guard([this, number = progress.wave.number, wanted](bool written, instant) {
-                          wave_progress &shown = m_waves[number];
-                          shown.showing = false;
-                          (wanted ? shown.shownCompleted : shown.shownRunning) = written;
-                      }));
+    m_status.showWave(progress.wave.number, wanted, m_lifetime.guard([this, number = progress.wave.number, wanted](bool written, instant) {
+        wave_progress &shown = m_waves[number];
+        shown.showing = false;
+        (wanted ? shown.shownCompleted : shown.shownRunning) = written;
+    }));
 }
 
 } // namespace jujubespool
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -86,7 +86,9 @@
     process_identity m_identity;
     std::function<wall_ms()> m_wallClock;
     event_callback m_onEvent;
-    std::function<bool(instant now)> m_confirmedByPeers = [](instant) { return false; };
+    std::function<bool(instant now)> m_confirmedByPeers = [](instant) {
+        return false;
+    };
     feed_follower m_operators;
     feed_follower m_workers;
     std::map<std::string, std::string> m_ledger;
--- a/packages/manager/src/caller_desk.cpp
+++ b/packages/manager/src/caller_desk.cpp
@@ -66,14 +66,22 @@
     if (call.method == "POST") {
         submit(call, *queue, id, team == nullptr ? std::string() : team->name, now, wall, reply);
     } else if (call.method == "GET") {
-        m_manager.queryState(id, [this, reply](std::optional<job_state> state) {
-            reply(state ? http_reply{ STATUS_OK, m_codec.stateBody(*state) } : http_reply{ STATUS_GONE, m_codec.errorBody("no such job") });
-        }, now);
+        m_manager.queryState(
+            id,
+            [this, reply](std::optional<job_state> state) {
+                reply(state ? http_reply{ STATUS_OK, m_codec.stateBody(*state) }
+                            : http_reply{ STATUS_GONE, m_codec.errorBody("no such job") });
+            },
+            now);
     } else if (call.method == "DELETE") {
-        m_manager.cancel(id, [this, id, reply](cancel_end end) {
-            m_log.write("cancel", { { "job", id }, { "known", end == cancel_end::cancelled ? "yes" : "no" } });
-            reply(end == cancel_end::cancelled ? http_reply{ STATUS_OK, "{}" } : http_reply{ STATUS_GONE, m_codec.errorBody("no such job") });
-        }, now, wall);
+        m_manager.cancel(
+            id,
+            [this, id, reply](cancel_end end) {
+                m_log.write("cancel", { { "job", id }, { "known", end == cancel_end::cancelled ? "yes" : "no" } });
+                reply(end == cancel_end::cancelled ? http_reply{ STATUS_OK, "{}" }
+                                                   : http_reply{ STATUS_GONE, m_codec.errorBody("no such job") });
+            },
+            now, wall);
     } else {
         refuse(STATUS_BAD_METHOD, "POST, GET or DELETE");
     }
@@ -95,14 +103,19 @@
     parsed.request->id = id;
     parsed.request->queue = queue.name;
     parsed.request->team = team;
-    m_manager.submit(*parsed.request, [this, id, queue = queue.name, team, reply](submit_end end) {
-        m_log.write("submit", { { "job", id }, { "queue", queue }, { "team", team }, { "accepted", end == submit_end::accepted ? "yes" : "no" } });
-        if (end == submit_end::accepted) {
-            reply({ STATUS_OK, "{}" });
-        } else {
-            reply({ STATUS_UNAVAILABLE, m_codec.errorBody("not taken, try again"), "application/json", RETRY_AFTER_S });
-        }
-    }, now, wall);
+    m_manager.submit(
+        *parsed.request,
+        [this, id, queue = queue.name, team, reply](submit_end end) {
+            m_log.write(
+                "submit",
+                { { "job", id }, { "queue", queue }, { "team", team }, { "accepted", end == submit_end::accepted ? "yes" : "no" } });
+            if (end == submit_end::accepted) {
+                reply({ STATUS_OK, "{}" });
+            } else {
+                reply({ STATUS_UNAVAILABLE, m_codec.errorBody("not taken, try again"), "application/json", RETRY_AFTER_S });
+            }
+        },
+        now, wall);
 }
 
 } // namespace jujubespool
--- a/packages/manager/src/feed_follower.cpp
+++ b/packages/manager/src/feed_follower.cpp
@@ -44,10 +44,10 @@
 void feed_follower::readNewest(const std::string &after)
 {
     m_reader.newest(m_which, after, m_lifetime.guard([this, first = after.empty()](const feed_page &page, instant now) {
-                        if (!m_stopped) {
-                            onNewest(page, first, now);
-                        }
-                    }));
+        if (!m_stopped) {
+            onNewest(page, first, now);
+        }
+    }));
 }
 
 void feed_follower::onNewest(const feed_page &page, bool first, instant now)
@@ -83,10 +83,10 @@
 void feed_follower::readNext()
 {
     m_reader.read(m_which, m_offset, m_pace.wait, m_lifetime.guard([this](const feed_page &page, instant now) {
-                      if (!m_stopped) {
-                          onRead(page, now);
-                      }
-                  }));
+        if (!m_stopped) {
+            onRead(page, now);
+        }
+    }));
 }
 
 void feed_follower::onRead(const feed_page &page, instant now)
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -105,10 +105,10 @@
     image.set_cpu_share_percent(m_settings.cpuSharePercent);
     const ledger_entry entry{ m_settings.node, image.SerializeAsString() };
     m_clients.feeds.put(feed::members, entry, m_lifetime.guard([this](const append_outcome &outcome, instant) {
-                            if (outcome.end != append_end::done) {
-                                m_clock.after(JOIN_RETRY_DELAY, m_lifetime.guard([this](instant) { join(); }));
-                            }
-                        }));
+        if (outcome.end != append_end::done) {
+            m_clock.after(JOIN_RETRY_DELAY, m_lifetime.guard([this](instant) { join(); }));
+        }
+    }));
 }
 
 void manager_process::tick()
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -92,20 +92,20 @@
 void owner_session::readLedger(const std::string &after)
 {
     m_clients.feeds.newest(feed::ledger, after, m_lifetime.guard([this, first = after.empty()](const feed_page &page, instant now) {
-                               if (!page.answered) {
-                                   fail("the ledger cannot be read: " + page.reason.reason, now);
-                                   return;
-                               }
-                               if (first) {
-                                   m_ledgerEnd = page.end;
-                               }
-                               applyLedger(page);
-                               if (page.continueAfter) {
-                                   readLedger(*page.continueAfter);
-                               } else {
-                                   readLedgerTail();
-                               }
-                           }));
+        if (!page.answered) {
+            fail("the ledger cannot be read: " + page.reason.reason, now);
+            return;
+        }
+        if (first) {
+            m_ledgerEnd = page.end;
+        }
+        applyLedger(page);
+        if (page.continueAfter) {
+            readLedger(*page.continueAfter);
+        } else {
+            readLedgerTail();
+        }
+    }));
 }
 
 void owner_session::applyLedger(const feed_page &page)
@@ -122,18 +122,18 @@
 void owner_session::readLedgerTail()
 {
     m_clients.feeds.read(feed::ledger, m_ledgerEnd, milliseconds(0), m_lifetime.guard([this](const feed_page &page, instant now) {
-                             if (!page.answered) {
-                                 fail("the ledger cannot be read: " + page.reason.reason, now);
-                                 return;
-                             }
-                             applyLedger(page);
-                             m_ledgerEnd = page.next;
-                             if (page.next < page.end) {
-                                 readLedgerTail();
-                             } else {
-                                 claim();
-                             }
-                         }));
+        if (!page.answered) {
+            fail("the ledger cannot be read: " + page.reason.reason, now);
+            return;
+        }
+        applyLedger(page);
+        m_ledgerEnd = page.next;
+        if (page.next < page.end) {
+            readLedgerTail();
+        } else {
+            claim();
+        }
+    }));
 }
 
 ledger_entry owner_session::ownerEntry(bool resigned) const
--- a/packages/manager/src/peer_directory.cpp
+++ b/packages/manager/src/peer_directory.cpp
@@ -97,8 +97,8 @@
 
 int peer_directory::rank(instant now) const
 {
-    const auto self = std::find_if(m_members.begin(), m_members.end(),
-                                   [this](const auto &item) { return item.second.image.incarnation() == m_self; });
+    const auto self
+        = std::find_if(m_members.begin(), m_members.end(), [this](const auto &item) { return item.second.image.incarnation() == m_self; });
     if (self == m_members.end()) {
         return static_cast<int>(m_members.size());
     }
--- a/packages/manager/test/call_router_test.cpp
+++ b/packages/manager/test/call_router_test.cpp
@@ -73,7 +73,7 @@
 
 // An owner that got a call before may have accepted the job, so that a later refusal proves nothing.
 const refusal_row REFUSALS[] = {
-    { "POST", 1, 503, 503 }, { "POST", 2, 503, 504 }, { "POST", 1, 401, 401 }, { "POST", 2, 401, 504 }, { "POST", 2, 404, 504 },
+    { "POST", 1, 503, 503 }, { "POST", 2, 503, 504 }, { "POST", 1, 401, 401 }, { "POST", 2, 401, 504 },   { "POST", 2, 404, 504 },
     { "POST", 2, 200, 200 }, { "GET", 2, 410, 410 },  { "GET", 2, 503, 503 },  { "DELETE", 2, 410, 410 },
 };
 
@@ -89,7 +89,8 @@
     const refusal_row &item = REFUSALS[*row];
     router_fixture fixture;
     fixture.passToOwner(FIRST_OWNER);
-    fixture.router.handle({ item.method, "h", "/q/1", {}, {} }, [&](const http_reply &reply) { fixture.status = reply.status; }, fixture.now);
+    fixture.router.handle(
+        { item.method, "h", "/q/1", {}, {} }, [&](const http_reply &reply) { fixture.status = reply.status; }, fixture.now);
     if (item.passes > 1) {
         fixture.passToOwner(SECOND_OWNER);
     }
@@ -103,7 +104,8 @@
         router_fixture fixture;
         fixture.transport.reachable = reachable;
         fixture.passToOwner(FIRST_OWNER);
-        fixture.router.handle({ "POST", "h", "/q/1", {}, {} }, [&](const http_reply &reply) { fixture.status = reply.status; }, fixture.now);
+        fixture.router.handle(
+            { "POST", "h", "/q/1", {}, {} }, [&](const http_reply &reply) { fixture.status = reply.status; }, fixture.now);
         fixture.router.tick(fixture.now + seconds(3));
         cr_assert_eq(fixture.status, reachable ? 504 : 503);
     }
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -47,7 +47,8 @@
     // feed_reader
     void newest(feed which, const std::string &, page_callback done) override
     {
-        platform.after(LATENCY, [this, which, done](instant) { answer(LATENCY, links.storeDown ? feed_page() : platform.newest(which), done); });
+        platform.after(LATENCY,
+                       [this, which, done](instant) { answer(LATENCY, links.storeDown ? feed_page() : platform.newest(which), done); });
     }
     void read(feed which, std::uint64_t from, milliseconds wait, page_callback done) override
     {
@@ -76,37 +77,50 @@
             answer(NO_ANSWER, order_result{ order_end::unknown, std::nullopt, {} }, done);
             return;
         }
-        platform.after(LATENCY, [this, call, act, done](instant) { answer(LATENCY, act(platform.m_workers.at(call.worker.id), call), done); });
+        platform.after(LATENCY,
+                       [this, call, act, done](instant) { answer(LATENCY, act(platform.m_workers.at(call.worker.id), call), done); });
     }
     std::int64_t clockOf(const fake_worker &target) const
     {
-        return duration_cast<milliseconds>(platform.now().time_since_epoch()).count() + static_cast<std::int64_t>(target.report.id.size()) * 1000;
+        return duration_cast<milliseconds>(platform.now().time_since_epoch()).count()
+            + static_cast<std::int64_t>(target.report.id.size()) * 1000;
     }
     void start(const start_order &call, worker_gateway::order_callback done) override
     {
-        order(call, [this](fake_worker &target, const start_order &item) {
-            order_result result = platform.startOn(target, item);
-            result.clockMs = clockOf(target);
-            return result;
-        }, done);
+        order(
+            call,
+            [this](fake_worker &target, const start_order &item) {
+                order_result result = platform.startOn(target, item);
+                result.clockMs = clockOf(target);
+                return result;
+            },
+            done);
     }
     void stop(const stop_order &call, worker_gateway::order_callback done) override
     {
-        order(call, [this](fake_worker &target, const stop_order &item) {
-            if (item.fencingToken < target.fence) {
-                return order_result{ order_end::fenced, clockOf(target), {} };
-            }
-            target.highestOver[item.task] = std::max(target.highestOver[item.task], item.run);
-            const auto found = target.running.find(item.task);
-            if (found != target.running.end() && found->second.run == item.run) {
-                platform.endRun(target, item.task, run_end::stopped);
-            }
-            return order_result{ order_end::accepted, clockOf(target), {} };
-        }, done);
+        order(
+            call,
+            [this](fake_worker &target, const stop_order &item) {
+                if (item.fencingToken < target.fence) {
+                    return order_result{ order_end::fenced, clockOf(target), {} };
+                }
+                target.highestOver[item.task] = std::max(target.highestOver[item.task], item.run);
+                const auto found = target.running.find(item.task);
+                if (found != target.running.end() && found->second.run == item.run) {
+                    platform.endRun(target, item.task, run_end::stopped);
+                }
+                return order_result{ order_end::accepted, clockOf(target), {} };
+            },
+            done);
     }
     void pace(const pace_order &call, worker_gateway::order_callback done) override
     {
-        order(call, [this](fake_worker &target, const pace_order &) { return order_result{ order_end::accepted, clockOf(target), {} }; }, done);
+        order(
+            call,
+            [this](fake_worker &target, const pace_order &) {
+                return order_result{ order_end::accepted, clockOf(target), {} };
+            },
+            done);
     }
     void look(const look_order &call, std::function<void(const look_result &, instant now)> done) override
     {
@@ -316,8 +330,7 @@
 {
     std::vector<kept_record> &log = m_feeds[feed::ledger];
     const auto number = std::make_pair(call.epoch, call.sequence);
-    const auto repeated
-        = std::find_if(m_lastAppends.begin(), m_lastAppends.end(), [&](const auto &item) { return item.first == number; });
+    const auto repeated = std::find_if(m_lastAppends.begin(), m_lastAppends.end(), [&](const auto &item) { return item.first == number; });
     if (repeated != m_lastAppends.end()) {
         return repeated->second;
     }
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -60,7 +60,8 @@
     int call(const std::string &process, const std::string &method, const std::string &path, const std::string &body = {})
     {
         const auto status = std::make_shared<int>(0);
-        sessions.at(process)->handle({ method, "h", path, {}, body }, platform.now(), [status](const http_reply &reply) { *status = reply.status; });
+        sessions.at(process)->handle({ method, "h", path, {}, body }, platform.now(),
+                                     [status](const http_reply &reply) { *status = reply.status; });
         platform.advance(milliseconds(100));
         return *status;
     }
@@ -80,7 +81,9 @@
 
 // What may happen to the owner or its workers 40 ms after a job of 30 tasks was accepted.
 const harm_row HARMS[] = {
-    { "nothing", [](fleet &) {} },
+    { "nothing",
+      [](fleet &) {
+      } },
     { "answers of the store are lost for a while",
       [](fleet &item) {
           item.platform.linksOf("entry-1").storeAnswersLost = true;
@@ -91,7 +94,10 @@
           item.platform.linksOf("entry-1").storeDown = true;
           item.platform.after(seconds(3), [&item](instant) { item.platform.linksOf("entry-1").storeDown = false; });
       } },
-    { "another process takes over", [](fleet &item) { item.begin("entry-2", 22); } },
+    { "another process takes over",
+      [](fleet &item) {
+          item.begin("entry-2", 22);
+      } },
     { "the owner freezes and another process takes over",
       [](fleet &item) {
           item.frozen.insert("entry-1");
@@ -99,7 +105,9 @@
           item.platform.after(seconds(5), [&item](instant) { item.frozen.clear(); });
       } },
     { "a worker starts another life",
-      [](fleet &item) { item.platform.after(milliseconds(100), [&item](instant) { item.platform.restartWorker("w1"); }); } },
+      [](fleet &item) {
+          item.platform.after(milliseconds(100), [&item](instant) { item.platform.restartWorker("w1"); });
+      } },
     { "starts are carried out three seconds late and not answered",
       [](fleet &item) {
           item.platform.linksOf("entry-1").startsLate = seconds(3);
@@ -140,7 +148,9 @@
 Test(ownership, aTaskDoesNotRunTwiceWhenTheFormerOwnerIsCutOffWithItsWorker)
 {
     fleet item;
-    item.platform.runTime = [](const task_key &) { return seconds(60); };
+    item.platform.runTime = [](const task_key &) {
+        return seconds(60);
+    };
     item.begin("entry-1", 11);
     item.platform.advance(milliseconds(500));
     cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
@@ -180,7 +190,9 @@
 Test(ownership, aTaskOfALostWorkerRunsAgainSoonAfterItsOwnerWasLostToo)
 {
     fleet item;
-    item.platform.runTime = [](const task_key &) { return seconds(600); };
+    item.platform.runTime = [](const task_key &) {
+        return seconds(600);
+    };
     item.begin("entry-1", 11);
     item.platform.advance(milliseconds(500));
     cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
