Lint the adapter too; drop what nothing calls

clang-tidy read packages/ only; it now reads platform/ with the same settings. Findings mended: arguments copied for nothing, a comparison that clang-tidy misreads written out. Behaviour is unchanged.

--- a/packages/jobs/include/jujubespool/jobs/advice_book.h
+++ b/packages/jobs/include/jujubespool/jobs/advice_book.h
@@ -41,7 +41,6 @@
     void noteAsked(const std::string &step);
     void noteAnswer(const advice_question &question, const advice_result &answer, const worker_book &workers, instant now);
     void dropTicket(const std::string &step, const std::string &workerId);
-    void forgetStep(const std::string &step);
 
 private:
     struct ticket
--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace jujubespool {
@@ -106,7 +107,11 @@
     int step = 0;
     int index = 0;
 
-    auto operator<=>(const task_key &other) const = default;
+    bool operator==(const task_key &other) const = default;
+    bool operator<(const task_key &other) const
+    {
+        return std::tie(job, occurrence, step, index) < std::tie(other.job, other.occurrence, other.step, other.index);
+    }
     std::string text() const;
     static std::optional<task_key> parse(const std::string &text);
 };
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -49,10 +49,10 @@
     void onWorkerUnlisted(const std::string &id, instant now);
     void onWave(const upkeep_wave &wave, wall_ms wall);
 
-    void submit(const job_request &request, std::function<void(submit_end end)> done, instant now, wall_ms wall);
-    void cancel(const std::string &id, std::function<void(cancel_end end)> done, instant now, wall_ms wall);
+    void submit(const job_request &request, const std::function<void(submit_end end)> &done, instant now, wall_ms wall);
+    void cancel(const std::string &id, const std::function<void(cancel_end end)> &done, instant now, wall_ms wall);
     // Calls back with the state, or with nothing for an unknown job, once what it rests on is durable.
-    void queryState(const std::string &id, std::function<void(std::optional<job_state> state)> done, instant now);
+    void queryState(const std::string &id, const std::function<void(std::optional<job_state> state)> &done, instant now);
     int pendingJobs(const std::string &queue) const;
 
     void tick(instant now, wall_ms wall);
--- a/packages/jobs/include/jujubespool/jobs/ledger_writer.h
+++ b/packages/jobs/include/jujubespool/jobs/ledger_writer.h
@@ -26,10 +26,6 @@
     void put(ledger_entry entry);
     // Calls back once everything that was put before is durable; at once when it already is.
     void whenDurable(durable_callback call, instant now);
-    bool idle() const
-    {
-        return !m_inFlight && m_pending.empty();
-    }
     bool appending() const
     {
         return m_inFlight;
@@ -47,10 +43,6 @@
     {
         m_lastDurableAt = now;
     }
-    bool fenced() const
-    {
-        return m_fenced;
-    }
     // Called between two appends: the next one takes what is put now.
     void onBetweenAppends(std::function<void(instant now)> call)
     {
--- a/packages/jobs/include/jujubespool/jobs/run_supervisor.h
+++ b/packages/jobs/include/jujubespool/jobs/run_supervisor.h
@@ -40,7 +40,7 @@
     void start(const placement &item, instant now);
     // Asks the worker to end the run; its end is applied when a look shows it.
     void stop(const task_key &key, instant now);
-    void setPace(const task_key &key, int percent, instant now);
+    void setPace(const task_key &key, int percent);
     // Sends the looks that are due and ends what has lapsed.
     void tick(instant now);
 
@@ -68,7 +68,7 @@
     void applyEnds(worker &target, const look_result &result, instant now);
     void judge(worker &target, const finished_run &finished, instant now);
     void endLapsed(worker &target, instant now);
-    void adjustPaces(worker &target, instant now);
+    void adjustPaces(worker &target);
     bool needsLook(const worker &target) const;
 
     fleet_model &m_model;
--- a/packages/jobs/src/advice_book.cpp
+++ b/packages/jobs/src/advice_book.cpp
@@ -58,9 +58,4 @@
     }
 }
 
-void advice_book::forgetStep(const std::string &step)
-{
-    m_steps.erase(step);
-}
-
 } // namespace jujubespool
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -133,7 +133,7 @@
     m_upkeep.setWave(wave, wall);
 }
 
-void job_manager::submit(const job_request &request, std::function<void(submit_end end)> done, instant now, wall_ms wall)
+void job_manager::submit(const job_request &request, const std::function<void(submit_end end)> &done, instant now, wall_ms wall)
 {
     m_wall = wall;
     const bool known = m_model.find(request.id) != nullptr;
@@ -151,7 +151,7 @@
     m_writer.whenDurable([done](instant) { done(submit_end::accepted); }, now);
 }
 
-void job_manager::cancel(const std::string &id, std::function<void(cancel_end end)> done, instant now, wall_ms wall)
+void job_manager::cancel(const std::string &id, const std::function<void(cancel_end end)> &done, instant now, wall_ms wall)
 {
     m_wall = wall;
     job *item = m_model.find(id);
@@ -171,7 +171,7 @@
         now);
 }
 
-void job_manager::queryState(const std::string &id, std::function<void(std::optional<job_state> state)> done, instant now)
+void job_manager::queryState(const std::string &id, const std::function<void(std::optional<job_state> state)> &done, instant now)
 {
     const job *item = m_model.find(id);
     if (item == nullptr) {
--- a/packages/jobs/src/pool_mover.cpp
+++ b/packages/jobs/src/pool_mover.cpp
@@ -110,6 +110,7 @@
     addHosts(pools, now);
     addLoad(pools, wall);
     std::vector<sizer_pool> list;
+    list.reserve(pools.size());
     for (auto &[name, pool] : pools) {
         list.push_back(std::move(pool));
     }
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -63,7 +63,7 @@
         }
     };
 
-    void scheduleStep(job &item, const queue_config &queue, task_key first)
+    void scheduleStep(job &item, const queue_config &queue, const task_key &first)
     {
         const step_spec &step = item.step(first.step);
         std::vector<task_key> waiting;
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -260,7 +260,7 @@
     }
 }
 
-void run_supervisor::setPace(const task_key &key, int percent, instant now)
+void run_supervisor::setPace(const task_key &key, int percent)
 {
     worker *target = workerOf(key);
     if (target == nullptr) {
@@ -278,7 +278,6 @@
             paced->pace = 100;
         }
     }));
-    static_cast<void>(now);
 }
 
 bool run_supervisor::needsLook(const worker &target) const
@@ -409,7 +408,7 @@
     }
     m_model.releaseAll(gone);
     applyEnds(target, result, now);
-    adjustPaces(target, now);
+    adjustPaces(target);
     if (!gone.empty() || !result.finished.empty()) {
         m_listener.onProgress(now);
     }
@@ -490,7 +489,7 @@
     m_listener.onProgress(now);
 }
 
-void run_supervisor::adjustPaces(worker &target, instant now)
+void run_supervisor::adjustPaces(worker &target)
 {
     double worst = 0;
     for (const auto &[key, run] : target.runs) {
@@ -510,7 +509,7 @@
         }
     }
     for (const auto &[key, percent] : changes) {
-        setPace(key, percent, now);
+        setPace(key, percent);
     }
 }
 
--- a/packages/manager/include/jujubespool/manager/feed_follower.h
+++ b/packages/manager/include/jujubespool/manager/feed_follower.h
@@ -35,10 +35,6 @@
     {
         return m_caughtUp;
     }
-    std::uint64_t offset() const
-    {
-        return m_offset;
-    }
 
 private:
     void readNewest(const std::string &after);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -17,7 +17,7 @@
     if clang-tidy --quiet -p build "$1" 2>/dev/null; then touch "$key"; else echo "clang-tidy: $1"; return 1; fi
 }
 export -f tidy
-mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep -E '^packages/.*/src/.*\.cpp$')
+mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep -E '^(packages/.*|platform)/src/.*\.cpp$')
 findings=$(printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -I{} bash -c 'tidy "$@"' _ {} "$settings")
 [ -n "$findings" ] && echo "$findings"
 bad=$(grep -c '^clang-tidy: ' <<<"$findings")
