Answer a length that is no number with 400 before the connection ends

Cause: for "Content-Length: +2" libevhtp's parser fails inside the header and frees the connection without its error hook. Ruled out: a hook on headers or on read, neither is called; reading bytes before the parser, which would be a second parser. The hook at a connection's end runs while the socket is open and the parser still tells its error.

--- a/packages/entry/src/caller_front.cpp
+++ b/packages/entry/src/caller_front.cpp
@@ -159,6 +159,15 @@
         return EVHTP_RES_OK;
     }
 
+    // Some errors of the parser end the connection without its error hook.
+    static evhtp_res onConnectionEnd(evhtp_connection_t *connection, void *)
+    {
+        if (connection->parser != nullptr && htparser_get_error(connection->parser) != htparse_error_none) {
+            answerUnreadable(connection);
+        }
+        return EVHTP_RES_OK;
+    }
+
     // The end of a request with a doubtful length may never come, so it is not waited for.
     void refuseNow()
     {
@@ -174,6 +183,7 @@
     {
         evhtp_connection_set_hook(connection, evhtp_hook_on_headers, toHook(onHeaders), argument);
         evhtp_connection_set_hook(connection, evhtp_hook_on_conn_error, toHook(onConnectionError), argument);
+        evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, toHook(onConnectionEnd), argument);
         evhtp_connection_set_hook(connection, evhtp_hook_on_read, toHook(onRead), argument);
         return EVHTP_RES_OK;
     }
