Order hosts at the platform's own rate, ahead of turns, and let strong hosts own the jobs

Cause: the first seconds of each turn were late, since moves were held to 53 a second (the platform takes 215) and were sized by what already waited. Moves now follow duty_per_s of the settings; the work offered in the last second counts; free hosts of other pools go before those that are switched off. At the first start nobody knew anybody, all claimed with rank 0 and the last won. Now a process leaves the claim to others until it knows its rank, members that were never heard count as gone after 1.5 s, and a much stronger host that reaches the store asks a weak owner to hand over. An owner whom the store does not answer is replaced after 0.7 s and 0.3 s of quiet instead of 1.2 s and 0.7 s.

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -28,6 +28,8 @@
     milliseconds notice{ 4500 };
     milliseconds moveTime{ 1500 };
     milliseconds upkeepTime{ 2000 };
+    // Moves and upkeeps a second that the platform takes from all processes together.
+    double hostOrdersPerSecond = 64;
     // How long the state of an ended job stays readable.
     seconds statusKept{ 120 };
 };
--- a/packages/jobs/include/jujubespool/jobs/owner_election.h
+++ b/packages/jobs/include/jujubespool/jobs/owner_election.h
@@ -1,6 +1,7 @@
 // Decides when a process tries to become the owner of the jobs.
 //
-//     owner_election election(rank);
+//     owner_election election;
+//     election.setRank(rank);
 //     election.noteBeat(epoch, storeSilent, now);
 //     if (election.next(now) == election_action::claim) { ... }
 //
@@ -27,9 +28,11 @@
 // The owner's silence after which it is suspected.
 constexpr milliseconds OWNER_SUSPICION{ 450 };
 // The owner's own silence of the store after which it is not trusted to record anything.
-constexpr milliseconds STORE_SUSPICION{ 1200 };
+constexpr milliseconds STORE_SUSPICION{ 700 };
 // The ledger has to stand still for this long; a working owner writes more often.
-constexpr milliseconds LEDGER_QUIET{ 700 };
+constexpr milliseconds LEDGER_QUIET{ 600 };
+// The same when the owner itself says that the store does not answer it.
+constexpr milliseconds LEDGER_QUIET_TOLD{ 300 };
 constexpr milliseconds OWNER_RENEWAL{ 400 };
 constexpr milliseconds LEDGER_READ_INTERVAL{ 250 };
 // Each rank waits this much longer, so that claims rarely race.
@@ -37,12 +40,16 @@
 // Silence of the owner after which most processes may replace it although it still writes.
 constexpr milliseconds MAJORITY_SUSPICION{ 1200 };
 constexpr milliseconds PEER_SILENCE{ 1500 };
+// A process that does not know the others yet leaves the claim to them for this long.
+constexpr milliseconds UNRANKED_PATIENCE{ 2000 };
+// With an empty ledger, so long for the processes that start at the same time to find each other.
+constexpr milliseconds FIRST_START_WAIT{ 500 };
 
 class owner_election
 {
 public:
-    // Smaller ranks claim earlier.
-    void setRank(int rank)
+    // Smaller ranks claim earlier. Nothing while the other processes are not known.
+    void setRank(std::optional<int> rank)
     {
         m_rank = rank;
     }
@@ -64,9 +71,9 @@
 
 private:
     bool majoritySuspects(instant now) const;
-    milliseconds patience() const;
+    duration patience() const;
 
-    int m_rank = 0;
+    std::optional<int> m_rank;
     std::uint64_t m_epoch = 0;
     std::optional<instant> m_lastBeat;
     milliseconds m_storeSilent{ 0 };
@@ -81,6 +88,7 @@
     instant m_ledgerAnsweredAt;
     instant m_ledgerReadAt;
     bool m_free = false;
+    bool m_neverOwned = false;
     bool m_handover = false;
     instant m_startedAt;
     bool m_started = false;
--- a/packages/jobs/include/jujubespool/jobs/pool_mover.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_mover.h
@@ -14,6 +14,8 @@
 public:
     pool_mover(fleet_model &model, host_roster &roster, decision_log &log);
 
+    // Learns from the restored jobs what was handed in of late, so that a new owner expects the same peaks.
+    void restoreLoad(instant now, wall_ms wall);
     void tick(instant now, wall_ms wall);
     const pool_sizer &sizer() const
     {
@@ -41,6 +43,8 @@
     std::int64_t onTimeMillis = 0;
     // Of jobs that cannot be on time any more.
     std::int64_t lateMillis = 0;
+    // Processors that the work handed in of late keeps busy, by its own estimate.
+    std::int64_t offeredMillis = 0;
 };
 
 std::map<std::string, waiting_load> waitingByPool(const fleet_model &model, wall_ms wall);
--- a/packages/jobs/include/jujubespool/jobs/pool_sizer.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_sizer.h
@@ -6,11 +6,12 @@
 // Answers loads that come by turns: each queue asks several times its mean for some seconds and little in between.
 // A pool that needs more gets hosts that are switched off or that run nothing in other pools; hosts that have run
 // nothing for a while are switched off. Once a pool has had a peak, the first rise of the next one brings hosts
-// for the whole of it. When the fleet is too small for all, each pool gets its part, and pools that hold more than
-// theirs release hosts as their tasks end.
+// for the whole of it; once the peaks have come at even intervals, the hosts are ordered ahead of the next
+// (turn_forecast.h), and a pool whose turn is over gives its hosts back at once. When the fleet is too small for all, each pool gets its
+// part, and pools that hold more than theirs release hosts as their tasks end.
 #pragma once
 
-#include <jujubespool/core/time.h>
+#include <jujubespool/jobs/turn_forecast.h>
 #include <map>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
     // Processors for which tasks wait whose jobs can be on time, and those of jobs that cannot.
     std::int64_t waitingMillis = 0;
     std::int64_t lateMillis = 0;
+    // Processors that the work handed in of late keeps busy, by its own estimate.
+    std::int64_t offeredMillis = 0;
 };
 
 struct host_move
@@ -63,6 +66,11 @@
 class pool_sizer
 {
 public:
+    // The lead is the time between the order for a host and its first task in the new pool.
+    explicit pool_sizer(milliseconds lead);
+
+    // Work that was handed in before this sizer existed, oldest first.
+    void noteFormerLoad(const std::string &pool, std::int64_t offeredMillis, instant at);
     sizer_decision decide(const std::vector<sizer_pool> &pools, instant now);
     // Processors that the pool should have.
     std::int64_t wantedMillis(const std::string &pool) const;
@@ -83,12 +91,15 @@
         std::map<std::string, bool> given;
     };
     void updateNeed(const sizer_pool &pool, duration elapsed, instant now);
+    void provideForNextTurn(instant now);
     void divideAmongAll(const std::vector<sizer_pool> &pools, const balance &now);
     void fillDeficits(const std::vector<sizer_pool> &pools, balance &now, sizer_decision &decision);
     void switchOff(const std::vector<sizer_pool> &pools, balance &state, sizer_decision &decision, instant now);
     void release(const std::vector<sizer_pool> &pools, balance &state, sizer_decision &decision);
     bool mayGive(const sizer_pool &pool, const sizer_host &host, balance &state);
 
+    milliseconds m_lead;
+    turn_forecast m_forecast;
     std::map<std::string, history> m_pools;
     instant m_lastDecision;
     bool m_used = false;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -58,6 +58,9 @@
             m_roster.noteFormerOrder(parsed.name, ordered.ordered_ms(), wall, now);
         }
     }
+    if (m_model.configured()) {
+        m_mover.restoreLoad(now, wall);
+    }
     m_log.write("ownership-restored",
                 { { "entries", std::to_string(entries.size()) },
                   { "live_jobs", std::to_string(m_model.live().size()) },
--- a/packages/jobs/src/owner_election.cpp
+++ b/packages/jobs/src/owner_election.cpp
@@ -37,6 +37,7 @@
     m_ledgerEnd = end;
     m_ledgerAnsweredAt = now;
     m_free = ownerResigned || !ownerKnown;
+    m_neverOwned = !ownerKnown;
 }
 
 void owner_election::noteHandover(instant)
@@ -62,9 +63,10 @@
     return !hearsOwner(now) || m_storeSilent >= STORE_SUSPICION;
 }
 
-milliseconds owner_election::patience() const
+duration owner_election::patience() const
 {
-    return RANK_DELAY * m_rank;
+    const duration ranked = RANK_DELAY * m_rank.value_or(0);
+    return m_neverOwned ? ranked + FIRST_START_WAIT : ranked;
 }
 
 bool owner_election::majoritySuspects(instant now) const
@@ -89,7 +91,7 @@
     if (m_handover && now >= m_notBefore) {
         return election_action::claim;
     }
-    if (!suspects(now) || now < m_notBefore) {
+    if (!suspects(now) || now < m_notBefore || (!m_rank && now - m_startedAt < UNRANKED_PATIENCE)) {
         return election_action::none;
     }
     if (m_ledgerEnd) {
@@ -97,7 +99,8 @@
         if (m_free && now - m_ledgerEndSince >= patience()) {
             return election_action::claim;
         }
-        if (quiet >= LEDGER_QUIET + patience()) {
+        const milliseconds least = hearsOwner(now) ? LEDGER_QUIET_TOLD : LEDGER_QUIET;
+        if (quiet >= least + patience()) {
             return election_action::claim;
         }
         const bool longSilent = !m_lastBeat || now - *m_lastBeat >= MAJORITY_SUSPICION + patience();
--- a/packages/jobs/src/pool_mover.cpp
+++ b/packages/jobs/src/pool_mover.cpp
@@ -8,43 +8,79 @@
 
 constexpr milliseconds DECISION_INTERVAL{ 150 };
 constexpr milliseconds LOG_INTERVAL{ 1000 };
-// Moves ordered in one decision, so that the platform's rate of orders is not exceeded.
-constexpr std::size_t MAX_MOVES_AT_ONCE = 8;
+// Part of the platform's rate of host orders that moves may use; upkeeps use the rest.
+constexpr double MOVES_SHARE = 0.8;
+// Work handed in during this time tells how much is offered.
+constexpr milliseconds OFFER_WINDOW{ 1000 };
+// How far back a new owner looks at what was handed in.
+constexpr milliseconds HISTORY{ 60000 };
+// Time that a moved host needs to be listed and looked at.
+constexpr milliseconds JOINING_TIME{ 1100 };
 constexpr std::int64_t MILLIS_PER_CORE = 1000;
 
+// Processors that the job's ready and waiting tasks ask for.
+std::int64_t waitingMillisOf(const job &item)
+{
+    std::int64_t millis = 0;
+    for (const auto &[number, occurrence] : item.occurrences()) {
+        for (std::size_t step = 0; !occurrence.ended && step < occurrence.steps.size(); ++step) {
+            const step_spec &spec = item.step(static_cast<int>(step));
+            if (spec.fills || occurrence.open[step] == 0 || !item.stepReady(occurrence, static_cast<int>(step))) {
+                continue;
+            }
+            const auto &tasks = occurrence.steps[step];
+            millis += spec.each.cpuMillis
+                * std::count_if(tasks.begin(), tasks.end(), [](const task_progress &task) { return task.phase == task_phase::waiting; });
+        }
+    }
+    return millis;
+}
+
+// Processors that the job keeps busy for the length of the offer window, if it was handed in within it.
+std::int64_t offeredMillisOf(const job &item, wall_ms wall)
+{
+    if (item.isTimed() || item.isLongRunning() || item.acceptedAt() + static_cast<wall_ms>(OFFER_WINDOW.count()) < wall) {
+        return 0;
+    }
+    double coreMillis = 0;
+    for (const step_spec &step : item.request().steps) {
+        coreMillis += step.fills ? 0 : static_cast<double>(step.count * step.each.cpuMillis) * static_cast<double>(step.estimated.count());
+    }
+    return static_cast<std::int64_t>(coreMillis / static_cast<double>(OFFER_WINDOW.count()));
+}
+
+// The part of the amount that a team's limit leaves after what was taken before.
+std::int64_t takeFrom(std::int64_t limit, std::int64_t amount, std::int64_t &taken)
+{
+    const std::int64_t part = std::clamp<std::int64_t>(amount, 0, std::max<std::int64_t>(0, limit - taken));
+    taken += part;
+    return part;
+}
+
 } // namespace
 
 std::map<std::string, waiting_load> waitingByPool(const fleet_model &model, wall_ms wall)
 {
     std::map<std::string, waiting_load> waiting;
-    std::map<std::string, std::int64_t> byTeam;
+    std::map<std::string, std::int64_t> waitingOfTeam;
+    std::map<std::string, std::int64_t> offeredOfTeam;
     for (const std::string &id : model.live()) {
         const job &item = model.jobs().at(id);
         const queue_config *queue = model.queueOf(item);
         if (queue == nullptr) {
             continue;
         }
-        std::int64_t millis = 0;
-        for (const auto &[number, occurrence] : item.occurrences()) {
-            for (std::size_t step = 0; !occurrence.ended && step < occurrence.steps.size(); ++step) {
-                const step_spec &spec = item.step(static_cast<int>(step));
-                if (spec.fills || occurrence.open[step] == 0 || !item.stepReady(occurrence, static_cast<int>(step))) {
-                    continue;
-                }
-                const auto &tasks = occurrence.steps[step];
-                millis += spec.each.cpuMillis * std::count_if(tasks.begin(), tasks.end(), [](const task_progress &task) {
-                              return task.phase == task_phase::waiting;
-                          });
-            }
-        }
+        std::int64_t waitingMillis = waitingMillisOf(item);
+        std::int64_t offeredMillis = offeredMillisOf(item, wall);
         const auto team = model.config().teams.find(item.request().team);
         if (team != model.config().teams.end() && team->second.limit.cpuMillis > 0) {
-            const std::int64_t left = team->second.limit.cpuMillis - model.usage().of(team->first).cpuMillis - byTeam[team->first];
-            millis = std::clamp<std::int64_t>(millis, 0, std::max<std::int64_t>(0, left));
-            byTeam[team->first] += millis;
+            const std::int64_t left = team->second.limit.cpuMillis - model.usage().of(team->first).cpuMillis;
+            waitingMillis = takeFrom(std::max<std::int64_t>(left, 0), waitingMillis, waitingOfTeam[team->first]);
+            offeredMillis = takeFrom(team->second.limit.cpuMillis, offeredMillis, offeredOfTeam[team->first]);
         }
         waiting_load &load = waiting[queue->pool];
-        (rankOf(item, *queue, wall).late ? load.lateMillis : load.onTimeMillis) += millis;
+        (rankOf(item, *queue, wall).late ? load.lateMillis : load.onTimeMillis) += waitingMillis;
+        load.offeredMillis += offeredMillis;
     }
     return waiting;
 }
@@ -53,9 +89,40 @@
     : m_model(model)
     , m_roster(roster)
     , m_log(log)
+    , m_sizer(model.bounds().moveTime + JOINING_TIME)
 {
 }
 
+void pool_mover::restoreLoad(instant now, wall_ms wall)
+{
+    // What each pool was offered at each past decision; the newest comes first.
+    const auto decisions = static_cast<std::size_t>(HISTORY / DECISION_INTERVAL);
+    const auto counted = static_cast<std::size_t>(OFFER_WINDOW / DECISION_INTERVAL);
+    std::map<std::string, std::vector<std::int64_t>> offered;
+    for (const auto &[name, config] : m_model.config().pools) {
+        if (!config.standby) {
+            offered[name].resize(decisions);
+        }
+    }
+    for (const auto &[id, item] : m_model.jobs()) {
+        const queue_config *queue = m_model.queueOf(item);
+        const auto pool = queue == nullptr ? offered.end() : offered.find(queue->pool);
+        const milliseconds age(wall - std::min(wall, item.acceptedAt()));
+        const auto first = static_cast<std::size_t>(age / DECISION_INTERVAL);
+        if (pool == offered.end() || first >= decisions) {
+            continue;
+        }
+        for (std::size_t i = first + 1 - std::min(first + 1, counted); i <= first; ++i) {
+            pool->second[i] += offeredMillisOf(item, item.acceptedAt());
+        }
+    }
+    for (std::size_t i = decisions; i-- > 0;) {
+        for (const auto &[name, loads] : offered) {
+            m_sizer.noteFormerLoad(name, loads[i], now - DECISION_INTERVAL * static_cast<int>(i));
+        }
+    }
+}
+
 void pool_mover::addLoad(std::map<std::string, sizer_pool> &pools, wall_ms wall) const
 {
     for (const auto &[pool, load] : waitingByPool(m_model, wall)) {
@@ -63,6 +130,7 @@
         if (found != pools.end()) {
             found->second.waitingMillis = load.onTimeMillis;
             found->second.lateMillis = load.lateMillis;
+            found->second.offeredMillis = load.offeredMillis;
         }
     }
     for (const auto &[id, target] : m_model.workers().all()) {
@@ -132,6 +200,7 @@
                       { "arriving", std::to_string(pool.arriving) },
                       { "used_cores", std::to_string(pool.usedMillis / MILLIS_PER_CORE) },
                       { "waiting_cores", std::to_string(pool.waitingMillis / MILLIS_PER_CORE) },
+                      { "offered_cores", std::to_string(pool.offeredMillis / MILLIS_PER_CORE) },
                       { "late_cores", std::to_string(pool.lateMillis / MILLIS_PER_CORE) },
                       { "wanted_cores", std::to_string(m_sizer.wantedMillis(pool.name) / MILLIS_PER_CORE) } });
     }
@@ -157,13 +226,15 @@
         return;
     }
     m_notBefore = now + DECISION_INTERVAL;
-    std::size_t ordered = 0;
+    const double interval = static_cast<double>(DECISION_INTERVAL.count()) / 1e3;
+    const int most = std::max(1, static_cast<int>(m_model.bounds().hostOrdersPerSecond * MOVES_SHARE * interval));
+    int ordered = 0;
     const std::vector<sizer_pool> pools = view(now, wall);
     logPools(pools, now);
     const sizer_decision decision = m_sizer.decide(pools, now);
     release(decision.released);
     for (const host_move &move : decision.moves) {
-        if (ordered < MAX_MOVES_AT_ONCE && !m_roster.moveRefused(move.host, move.toPool)) {
+        if (ordered < most && !m_roster.moveRefused(move.host, move.toPool)) {
             ++ordered;
             m_roster.move(move.host, move.toPool, now);
         }
--- a/packages/jobs/src/pool_sizer.cpp
+++ b/packages/jobs/src/pool_sizer.cpp
@@ -16,11 +16,16 @@
 constexpr double PEAK_HALF_LIFE_S = 30;
 // What the pool needed lately still counts, falling by half in this time.
 constexpr double HELD_HALF_LIFE_S = 1.5;
+// The same for a pool whose turn is over.
+constexpr double HELD_AFTER_TURN_S = 0.3;
 // Part of the last peak at which a rise counts as the next one, and the part of it that is then provided.
 constexpr double RISE_SHARE = 0.3;
 constexpr double PROVIDED_SHARE = 0.8;
 // A host that has been free for so long is switched off: two moves cost about as much as it does meanwhile.
 constexpr milliseconds FREE_BEFORE_OFF{ 1500 };
+constexpr milliseconds FREE_BEFORE_OFF_AFTER_TURN{ 300 };
+// A turn that is expected is waited for this long after its time.
+constexpr milliseconds TURN_WAIT{ 800 };
 // A pool releases hosts only to pools that have less than this part of its own supply.
 constexpr double RELEASE_RATIO = 0.7;
 
@@ -40,6 +45,18 @@
 
 } // namespace
 
+pool_sizer::pool_sizer(milliseconds lead)
+    : m_lead(lead)
+{
+}
+
+void pool_sizer::noteFormerLoad(const std::string &pool, std::int64_t offeredMillis, instant at)
+{
+    m_forecast.note(pool, offeredMillis, at);
+    double &peak = m_pools[pool].peakMillis;
+    peak = std::max(peak, static_cast<double>(offeredMillis));
+}
+
 std::int64_t pool_sizer::wantedMillis(const std::string &pool) const
 {
     const auto found = m_pools.find(pool);
@@ -49,10 +66,14 @@
 void pool_sizer::updateNeed(const sizer_pool &pool, duration elapsed, instant now)
 {
     history &past = m_pools[pool.name];
-    const double need = static_cast<double>(pool.usedMillis + pool.waitingMillis) + LATE_SHARE * static_cast<double>(pool.lateMillis);
+    const double backlog = static_cast<double>(pool.usedMillis + pool.waitingMillis) + LATE_SHARE * static_cast<double>(pool.lateMillis);
+    const double need = std::max(backlog, static_cast<double>(pool.offeredMillis));
+    if (!pool.standby) {
+        m_forecast.note(pool.name, pool.offeredMillis, now);
+    }
     const bool rising = need > past.heldMillis;
     past.peakMillis = std::max(need, halved(past.peakMillis, elapsed, PEAK_HALF_LIFE_S));
-    past.heldMillis = std::max(need, halved(past.heldMillis, elapsed, HELD_HALF_LIFE_S));
+    past.heldMillis = std::max(need, halved(past.heldMillis, elapsed, m_forecast.isOver(pool.name) ? HELD_AFTER_TURN_S : HELD_HALF_LIFE_S));
     double wanted = past.heldMillis * HEADROOM;
     if (rising && need > past.peakMillis * RISE_SHARE) {
         wanted = std::max(wanted, past.peakMillis * PROVIDED_SHARE * HEADROOM);
@@ -69,6 +90,26 @@
     past.freeSince = std::move(freeSince);
 }
 
+void pool_sizer::provideForNextTurn(instant now)
+{
+    const std::optional<expected_turn> turn = m_forecast.next(now);
+    if (!turn || now < turn->at - m_lead || now > turn->at + TURN_WAIT) {
+        return;
+    }
+    double peak = m_pools[turn->pool].peakMillis;
+    if (!m_forecast.hadTurn(turn->pool)) {
+        // Its first turn: the smallest of the others' peaks is a guess that is seldom too high.
+        peak = 0;
+        for (const auto &[name, past] : m_pools) {
+            if (m_forecast.hadTurn(name)) {
+                peak = peak > 0 ? std::min(peak, past.peakMillis) : past.peakMillis;
+            }
+        }
+    }
+    std::int64_t &wanted = m_pools[turn->pool].wantedMillis;
+    wanted = std::max(wanted, static_cast<std::int64_t>(peak * PROVIDED_SHARE * HEADROOM));
+}
+
 void pool_sizer::divideAmongAll(const std::vector<sizer_pool> &pools, const balance &now)
 {
     double wanted = 0;
@@ -93,9 +134,9 @@
 
 void pool_sizer::fillDeficits(const std::vector<sizer_pool> &pools, balance &state, sizer_decision &decision)
 {
-    // Hosts that are off go first, then free hosts of pools that have more than they want.
+    // Free hosts of pools that have more than they want go first, which saves switching them off; then those that are off.
     std::vector<std::pair<const sizer_pool *, const sizer_host *>> givers;
-    for (const bool off : { true, false }) {
+    for (const bool off : { false, true }) {
         for (const sizer_pool &pool : pools) {
             for (const sizer_host &host : pool.hosts) {
                 if (pool.standby == off && host.free) {
@@ -138,7 +179,8 @@
     for (const sizer_pool &pool : pools) {
         for (const sizer_host &host : pool.hosts) {
             const bool idle = !pool.standby && host.free && !state.given[host.name];
-            if (idle && now - m_pools[pool.name].freeSince[host.name] >= FREE_BEFORE_OFF && mayGive(pool, host, state)) {
+            const milliseconds least = m_forecast.isOver(pool.name) ? FREE_BEFORE_OFF_AFTER_TURN : FREE_BEFORE_OFF;
+            if (idle && now - m_pools[pool.name].freeSince[host.name] >= least && mayGive(pool, host, state)) {
                 state.capacity[pool.name] -= host.cpuMillis;
                 decision.moves.push_back({ host.name, standby->name });
             }
@@ -190,6 +232,7 @@
         updateNeed(pool, elapsed, now);
         state.capacity[pool.name] = capacityOf(pool);
     }
+    provideForNextTurn(now);
     sizer_decision decision;
     if (m_used) {
         divideAmongAll(pools, state);
--- a/packages/jobs/test/pool_sizer_test.cpp
+++ b/packages/jobs/test/pool_sizer_test.cpp
@@ -16,10 +16,10 @@
 public:
     turning_fleet(int poolCount, int hostsEach, int hostsOff)
     {
-        m_pools.push_back({ "off", true, {}, 0, 0, 0, 0, 0 });
+        m_pools.push_back({ "off", true, {}, 0, 0, 0, 0, 0, 0 });
         addHosts(m_pools[0], hostsOff);
         for (int i = 0; i < poolCount; ++i) {
-            m_pools.push_back({ "pool-" + std::to_string(i), false, {}, 0, 0, 0, 0, 0 });
+            m_pools.push_back({ "pool-" + std::to_string(i), false, {}, 0, 0, 0, 0, 0, 0 });
             addHosts(m_pools.back(), hostsEach);
         }
     }
@@ -40,6 +40,12 @@
         }
     }
 
+    // From now on the pool is handed in work that keeps this many hosts busy.
+    void offer(std::size_t pool, int hosts)
+    {
+        m_pools[pool].offeredMillis = hosts * HOST_MILLIS;
+    }
+
     int hostsOf(std::size_t pool) const
     {
         return static_cast<int>(m_pools[pool].hosts.size());
@@ -114,7 +120,7 @@
         });
     }
 
-    pool_sizer m_sizer;
+    pool_sizer m_sizer{ MOVE_TIME };
     std::vector<sizer_pool> m_pools;
     std::vector<std::pair<instant, host_move>> m_underWay;
     std::map<std::string, bool> m_released;
@@ -170,3 +176,24 @@
     fleet.play({ 5, 5, 5, 5 }, seconds(60));
     cr_assert_eq(fleet.moves(), before);
 }
+
+// The first jobs of a turn are few, but the rate at which they come tells how many hosts the turn needs.
+Test(pool_sizer, bringsHostsForWhatIsOfferedBeforeItWaits)
+{
+    turning_fleet fleet(4, 9, 30);
+    fleet.play({ 2, 2, 2, 2 }, seconds(12));
+    fleet.offer(1, 20);
+    fleet.play({ 4, 2, 2, 2 }, milliseconds(1650));
+    cr_assert_geq(fleet.hostsOf(1), 20, "%d", fleet.hostsOf(1));
+}
+
+// Switching a host off and on again is two moves; a free host of a pool that has too many needs one.
+Test(pool_sizer, takesFreeHostsOfOtherPoolsBeforeThoseThatAreOff)
+{
+    turning_fleet fleet(2, 20, 20);
+    fleet.play({ 20, 1 }, seconds(5));
+    fleet.play({ 1, 1 }, seconds(1));
+    const int before = fleet.hostsOf(1);
+    fleet.play({ 1, 20 }, milliseconds(150));
+    cr_assert_lt(fleet.hostsOf(1), before);
+}
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -54,6 +54,10 @@
     bool serves(instant now) const;
     void readLedgerEnd();
     void beginClaim(instant now);
+    // Asks a much weaker owner to hand over to this process.
+    void askForHandover(instant now);
+    void onHandoverRequest(std::uint64_t from, std::uint64_t epoch, instant now);
+    void handOver(std::uint64_t next, instant now);
     void onSessionEvent(session_event event, instant now);
     void dropSession(instant now);
     void finishStop(instant now);
@@ -87,6 +91,10 @@
     instant m_servedAt;
     bool m_stopping = false;
     bool m_handedOver = false;
+    // The session is handing over.
+    bool m_resigning = false;
+    // Since when an owner on a much weaker host has been heard, or was last asked to hand over.
+    instant m_weakOwnerSince;
     instant m_stopAt;
     instant m_stopBegan;
     lifetime m_lifetime;
--- a/packages/manager/include/jujubespool/manager/manager_settings.h
+++ b/packages/manager/include/jujubespool/manager/manager_settings.h
@@ -21,6 +21,8 @@
     std::string adviceAddress;
     // Part of a core that this process has, in percent.
     std::uint32_t cpuSharePercent = 0;
+    // Bandwidth of the host's network, in Mbit/s.
+    std::uint32_t linkMbps = 0;
     manager_bounds bounds;
 };
 
--- a/packages/manager/include/jujubespool/manager/peer_directory.h
+++ b/packages/manager/include/jujubespool/manager/peer_directory.h
@@ -16,7 +16,7 @@
     peer_directory(peer_transport &link, std::uint64_t self, decision_log &log);
 
     // A process has appeared, or has started again under the same name.
-    void noteMember(const std::string &node, const wire::member_image &image);
+    void noteMember(const std::string &node, const wire::member_image &image, instant now);
     void dropMember(const std::string &node);
     void noteHeard(std::uint64_t incarnation, instant now);
     // The process says that it does not own the jobs.
@@ -25,8 +25,11 @@
     bool nobodyElseOwns(instant now) const;
     void broadcast(wire::peer_message message);
     bool send(std::uint64_t incarnation, wire::peer_message message);
-    // Place of this process in the order in which processes claim the ownership, among those that are heard.
-    int rank(instant now) const;
+    // Place of this process in the order in which processes claim the ownership, among those that are heard; nothing
+    // before this process has found itself among the members.
+    std::optional<int> rank(instant now) const;
+    // The one process has much more processor or network than the other.
+    bool isMuchStronger(std::uint64_t one, std::uint64_t other) const;
     // The process best suited to own the jobs next; 0 if none is heard.
     std::uint64_t successor(instant now) const;
 
@@ -34,10 +37,13 @@
     struct member
     {
         wire::member_image image;
+        instant knownAt;
         instant heardAt;
         bool heard = false;
         std::optional<instant> notOwnerAt;
     };
+    const member *find(std::uint64_t incarnation) const;
+    bool isThere(const member &entry, instant now) const;
     static bool suitsBetter(const wire::member_image &left, const wire::member_image &right);
 
     peer_transport &m_link;
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds STOP_LONGEST{ 5000 };
 // A process that cannot serve for this long sends callers elsewhere; a change of owner takes less.
 constexpr milliseconds UNSERVED_BEFORE_UNREADY{ 1500 };
+// A stronger host asks the owner to hand over after hearing it for this long.
+constexpr milliseconds HANDOVER_PATIENCE{ 1500 };
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
 
@@ -55,10 +57,10 @@
     }
     join();
     m_members.start(
-        [this](const ledger_entry &entry, instant) {
+        [this](const ledger_entry &entry, instant now) {
             wire::member_image image;
             if (entry.value && image.ParseFromString(*entry.value)) {
-                m_peers.noteMember(entry.key, image);
+                m_peers.noteMember(entry.key, image, now);
             } else if (!entry.value) {
                 m_peers.dropMember(entry.key);
             }
@@ -103,6 +105,7 @@
     image.set_endpoint(fmt::format("tcp://{}:{}", m_settings.ip, m_settings.peerPort));
     image.set_started_ms(m_loop.wallNow());
     image.set_cpu_share_percent(m_settings.cpuSharePercent);
+    image.set_link_mbps(m_settings.linkMbps);
     const ledger_entry entry{ m_settings.node, image.SerializeAsString() };
     m_clients.feeds.put(feed::members, entry, m_lifetime.guard([this](const append_outcome &outcome, instant) {
         if (outcome.end != append_end::done) {
@@ -159,6 +162,9 @@
     case wire::peer_message::kHandover:
         m_election.noteHandover(now);
         break;
+    case wire::peer_message::kHandoverRequest:
+        onHandoverRequest(message.from_session(), message.handover_request().epoch(), now);
+        break;
     case wire::peer_message::kCall:
         m_router.onForwarded(message.from_session(), message.call(), now);
         break;
@@ -200,6 +206,9 @@
         m_router.setOwner(0, now);
     }
     m_election.setRank(m_peers.rank(now));
+    if (m_peers.rank(now) == 0 && m_peers.isMuchStronger(m_identity.incarnation, m_ownerSeen)) {
+        askForHandover(now);
+    }
     switch (m_election.next(now)) {
     case election_action::none:
         break;
@@ -212,6 +221,52 @@
     }
 }
 
+void manager_process::askForHandover(instant now)
+{
+    if (m_weakOwnerSince == instant() || !m_election.hearsOwner(now)) {
+        m_weakOwnerSince = now;
+    }
+    if (now - m_weakOwnerSince < HANDOVER_PATIENCE) {
+        return;
+    }
+    // The answer of the store proves that this process could work as the owner.
+    m_weakOwnerSince = now;
+    m_clients.feeds.newest(feed::ledger, ledgerKey(ledger_kind::owner, ""), m_lifetime.guard([this](const feed_page &page, instant then) {
+        if (page.answered && !m_session && m_election.hearsOwner(then)) {
+            wire::peer_message message;
+            message.mutable_handover_request()->set_epoch(m_election.epoch());
+            m_peers.send(m_ownerSeen, std::move(message));
+            m_log.write("handover-asked", { { "owner", std::to_string(m_ownerSeen) }, { "epoch", std::to_string(m_election.epoch()) } });
+        }
+    }));
+}
+
+void manager_process::onHandoverRequest(std::uint64_t from, std::uint64_t epoch, instant now)
+{
+    const bool due = owns() && !m_resigning && !m_stopping && epoch == m_session->epoch();
+    if (due && m_peers.isMuchStronger(from, m_identity.incarnation)) {
+        handOver(from, now);
+    }
+}
+
+// Resigns, then tells the next owner that it may claim.
+void manager_process::handOver(std::uint64_t next, instant now)
+{
+    m_resigning = true;
+    m_session->resign(
+        [this, next](instant then) {
+            wire::peer_message message;
+            message.mutable_handover()->set_epoch(m_session->epoch());
+            m_peers.send(next, std::move(message));
+            m_log.write("handed-over", { { "to", std::to_string(next) }, { "epoch", std::to_string(m_session->epoch()) } });
+            m_handedOver = true;
+            m_resigning = false;
+            m_election.noteLost(then);
+            dropSession(then);
+        },
+        now);
+}
+
 bool manager_process::serves(instant now) const
 {
     return owns() ? m_session->storeSilentFor(now) < STORE_SUSPICION : m_election.hearsOwner(now);
@@ -252,7 +307,8 @@
 
 void manager_process::beginClaim(instant now)
 {
-    m_log.write("claim-begun", { { "epoch_known", std::to_string(m_election.epoch()) }, { "rank", std::to_string(m_peers.rank(now)) } });
+    m_log.write("claim-begun",
+                { { "epoch_known", std::to_string(m_election.epoch()) }, { "rank", std::to_string(m_peers.rank(now).value_or(-1)) } });
     m_session = std::make_unique<owner_session>(m_clients, m_clock, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
     m_session->setPeerConfirmation([this](instant then) { return m_peers.nobodyElseOwns(then); });
     m_session->begin([this](session_event event, instant then) { onSessionEvent(event, then); });
@@ -277,6 +333,8 @@
 void manager_process::dropSession(instant)
 {
     m_router.clearLocal();
+    m_resigning = false;
+    m_handedOver = m_handedOver || m_stopping;
     m_session->retire();
     // The session is on the stack of its own callback; it ends after it.
     m_loop.after(milliseconds(0), [session = std::shared_ptr<owner_session>(std::move(m_session))] {});
@@ -298,17 +356,9 @@
         }
         return;
     }
-    m_session->resign(
-        [this](instant then) {
-            const std::uint64_t next = m_peers.successor(then);
-            wire::peer_message message;
-            message.mutable_handover()->set_epoch(m_session->epoch());
-            m_peers.send(next, std::move(message));
-            m_log.write("handed-over", { { "to", std::to_string(next) } });
-            m_handedOver = true;
-            dropSession(then);
-        },
-        now);
+    if (!m_resigning) {
+        handOver(m_peers.successor(now), now);
+    }
 }
 
 void manager_process::finishStop(instant now)
--- a/packages/manager/src/peer_directory.cpp
+++ b/packages/manager/src/peer_directory.cpp
@@ -10,6 +10,8 @@
 
 // A statement that a process does not own the jobs holds for this long; well below the self-fence.
 constexpr milliseconds NOT_OWNER_VALID{ 1200 };
+// A host with this much more processor or network is worth a change of owner.
+constexpr double MUCH_STRONGER = 1.5;
 
 } // namespace
 
@@ -20,7 +22,7 @@
 {
 }
 
-void peer_directory::noteMember(const std::string &node, const wire::member_image &image)
+void peer_directory::noteMember(const std::string &node, const wire::member_image &image, instant now)
 {
     const auto found = m_members.find(node);
     if (found != m_members.end() && found->second.image.incarnation() == image.incarnation()) {
@@ -28,6 +30,7 @@
     }
     dropMember(node);
     m_members[node].image = image;
+    m_members[node].knownAt = now;
     if (image.incarnation() != m_self) {
         m_link.connect(image.incarnation(), image.endpoint());
         m_log.write("member-known", { { "node", node }, { "endpoint", image.endpoint() } });
@@ -91,24 +94,51 @@
 // the last to be stopped again.
 bool peer_directory::suitsBetter(const wire::member_image &left, const wire::member_image &right)
 {
-    return std::make_tuple(left.cpu_share_percent(), left.started_ms(), left.incarnation())
-        > std::make_tuple(right.cpu_share_percent(), right.started_ms(), right.incarnation());
+    return std::make_tuple(left.cpu_share_percent(), left.link_mbps(), left.started_ms(), left.incarnation())
+        > std::make_tuple(right.cpu_share_percent(), right.link_mbps(), right.started_ms(), right.incarnation());
 }
 
-int peer_directory::rank(instant now) const
+const peer_directory::member *peer_directory::find(std::uint64_t incarnation) const
 {
-    const auto self
-        = std::find_if(m_members.begin(), m_members.end(), [this](const auto &item) { return item.second.image.incarnation() == m_self; });
-    if (self == m_members.end()) {
-        return static_cast<int>(m_members.size());
+    const auto found = std::find_if(m_members.begin(), m_members.end(),
+                                    [&](const auto &item) { return item.second.image.incarnation() == incarnation; });
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+// A process that was never heard may have ended before this one started.
+bool peer_directory::isThere(const member &entry, instant now) const
+{
+    return now - (entry.heard ? entry.heardAt : entry.knownAt) < PEER_SILENCE;
+}
+
+std::optional<int> peer_directory::rank(instant now) const
+{
+    const member *self = find(m_self);
+    if (self == nullptr) {
+        return std::nullopt;
     }
     return static_cast<int>(std::count_if(m_members.begin(), m_members.end(), [&](const auto &item) {
         const member &other = item.second;
-        const bool there = !other.heard || now - other.heardAt < PEER_SILENCE;
-        return other.image.incarnation() != m_self && there && suitsBetter(other.image, self->second.image);
+        return &other != self && isThere(other, now) && suitsBetter(other.image, self->image);
     }));
 }
 
+bool peer_directory::isMuchStronger(std::uint64_t one, std::uint64_t other) const
+{
+    const member *strong = find(one);
+    const member *weak = find(other);
+    if (strong == nullptr || weak == nullptr) {
+        return false;
+    }
+    const auto exceeds = [](std::uint32_t left, std::uint32_t right) {
+        return left >= MUCH_STRONGER * right;
+    };
+    const bool processor = exceeds(strong->image.cpu_share_percent(), weak->image.cpu_share_percent());
+    const bool network = exceeds(strong->image.link_mbps(), weak->image.link_mbps());
+    const bool noLess = strong->image.cpu_share_percent() >= weak->image.cpu_share_percent();
+    return processor || (network && noLess);
+}
+
 std::uint64_t peer_directory::successor(instant now) const
 {
     const wire::member_image *best = nullptr;
