--- a/packages/jobs/include/jujubespool/jobs/ledger_writer.h
+++ b/packages/jobs/include/jujubespool/jobs/ledger_writer.h
@@ -56,6 +56,7 @@
 
 private:
     void send(instant now);
+    void logFailedAttempt(const append_outcome &outcome);
     void finish(const append_outcome &outcome, instant now);
 
     ledger_store &m_store;
--- a/packages/jobs/include/jujubespool/jobs/pool_mover.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_mover.h
@@ -12,7 +12,7 @@
 class pool_mover
 {
 public:
-    pool_mover(fleet_model &model, host_roster &roster, decision_log &log);
+    pool_mover(fleet_model &model, host_roster &roster, const upkeep_driver &upkeep, decision_log &log);
 
     // Learns from the restored jobs what was handed in of late, so that a new owner expects the same peaks.
     void restoreLoad(instant now, wall_ms wall);
@@ -31,6 +31,7 @@
 
     fleet_model &m_model;
     host_roster &m_roster;
+    const upkeep_driver &m_upkeep;
     decision_log &m_log;
     pool_sizer m_sizer;
     instant m_notBefore;
--- a/packages/jobs/include/jujubespool/jobs/pool_sizer.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_sizer.h
@@ -46,6 +46,8 @@
     std::int64_t lateMillis = 0;
     // Processors that the work handed in of late keeps busy, by its own estimate.
     std::int64_t offeredMillis = 0;
+    // Processors of the hosts that the pool needs beside its load, to empty others for their upkeep.
+    std::int64_t lackingMillis = 0;
 };
 
 struct host_move
--- a/packages/jobs/include/jujubespool/jobs/upkeep_driver.h
+++ b/packages/jobs/include/jujubespool/jobs/upkeep_driver.h
@@ -47,6 +47,8 @@
     void tick(instant now, wall_ms wall);
     // The host is in a wave and its upkeep has not begun.
     bool isDue(const std::string &host) const;
+    // Hosts that the pool lacks to take in lasting tasks of hosts that are due.
+    int hostsLacking(const std::string &pool) const;
 
 private:
     struct wave_progress
@@ -62,7 +64,8 @@
     };
     void drive(wave_progress &progress, instant now, wall_ms wall);
     void begin(wave_progress &progress, const host_entry &host, instant now);
-    void moveLastingAway(worker &target, instant now);
+    // Evicts what may go now. Returns false when a lasting task has no other place.
+    bool moveLastingAway(worker &target, instant now);
     bool hasOtherPlace(const worker &from, const task_key &key, instant now) const;
     bool mayEvict(const task_key &key);
     void show(wave_progress &progress);
@@ -74,6 +77,8 @@
     decision_log &m_log;
     std::map<std::uint64_t, wave_progress> m_waves;
     std::set<std::uint64_t> m_changed;
+    // Hosts by pool whose lasting tasks had no other place at the last tick.
+    std::map<std::string, int> m_stuckHosts;
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -21,7 +21,7 @@
     , m_runs(m_model, gateways.workers, clock, log, owned.epoch, *this)
     , m_roster(m_model, gateways.hosts, log, owned.holder, owned.epoch)
     , m_upkeep(m_model, m_runs, m_roster, gateways.status, log)
-    , m_mover(m_model, m_roster, log)
+    , m_mover(m_model, m_roster, m_upkeep, log)
 {
     m_writer.onFenced([this](instant now) { onFenced(now); });
     m_writer.onBetweenAppends([this](instant now) { settle(now); });
--- a/packages/jobs/src/ledger_writer.cpp
+++ b/packages/jobs/src/ledger_writer.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/jobs/ledger_writer.h>
 
 #include <algorithm>
+#include <bit>
 #include <fmt/format.h>
 
 namespace jujubespool {
@@ -8,8 +9,10 @@
 namespace {
 
 constexpr milliseconds FIRST_APPEND_TIMEOUT{ 500 };
-constexpr milliseconds LONGEST_APPEND_TIMEOUT{ 2000 };
+// A store that is back has to be found soon; a repeat of an append that was done is answered at once.
+constexpr milliseconds LONGEST_APPEND_TIMEOUT{ 800 };
 constexpr milliseconds RETRY_DELAY{ 60 };
+constexpr milliseconds LONGEST_RETRY_DELAY{ 250 };
 // An append has a bound on its size; larger batches are split between appends.
 constexpr std::size_t MAX_APPEND_BYTES = 1048576;
 
@@ -87,19 +90,28 @@
         flush(now);
         return;
     }
-    m_log.write("ledger-append-failed",
-                { { "epoch", std::to_string(m_epoch) },
-                  { "sequence", std::to_string(m_call.sequence) },
-                  { "attempt", std::to_string(m_attempts) },
-                  { "outcome", std::string(nameOf(outcome.end)) },
-                  { "reason", outcome.reason.reason } });
+    logFailedAttempt(outcome);
     if (outcome.end == append_end::fenced || outcome.end == append_end::moved) {
         m_fenced = true;
         m_onFenced(now);
         return;
     }
     m_call.timeout = std::min(m_call.timeout * 2, LONGEST_APPEND_TIMEOUT);
-    m_clock.after(RETRY_DELAY, m_lifetime.guard([this](instant then) { send(then); }));
+    const milliseconds delay = std::min(RETRY_DELAY * m_attempts, LONGEST_RETRY_DELAY);
+    m_clock.after(delay, m_lifetime.guard([this](instant then) { send(then); }));
+}
+
+// One line for each doubling of the attempts, so that an outage does not fill the log.
+void ledger_writer::logFailedAttempt(const append_outcome &outcome)
+{
+    if (std::has_single_bit(static_cast<unsigned>(m_attempts))) {
+        m_log.write("ledger-append-failed",
+                    { { "epoch", std::to_string(m_epoch) },
+                      { "sequence", std::to_string(m_call.sequence) },
+                      { "attempt", std::to_string(m_attempts) },
+                      { "outcome", std::string(nameOf(outcome.end)) },
+                      { "reason", outcome.reason.reason } });
+    }
 }
 
 duration ledger_writer::silentFor(instant now) const
--- a/packages/jobs/src/pool_mover.cpp
+++ b/packages/jobs/src/pool_mover.cpp
@@ -85,9 +85,10 @@
     return waiting;
 }
 
-pool_mover::pool_mover(fleet_model &model, host_roster &roster, decision_log &log)
+pool_mover::pool_mover(fleet_model &model, host_roster &roster, const upkeep_driver &upkeep, decision_log &log)
     : m_model(model)
     , m_roster(roster)
+    , m_upkeep(upkeep)
     , m_log(log)
     , m_sizer(model.bounds().moveTime + JOINING_TIME)
 {
@@ -163,6 +164,7 @@
     for (auto &[name, pool] : pools) {
         pool.arriving = m_roster.arriving(name);
         if (!pool.hosts.empty()) {
+            pool.lackingMillis = m_upkeep.hostsLacking(name) * pool.hosts.front().cpuMillis;
             pool.arrivingCpuMillis = pool.arriving * pool.hosts.front().cpuMillis;
         }
     }
--- a/packages/jobs/src/pool_sizer.cpp
+++ b/packages/jobs/src/pool_sizer.cpp
@@ -43,6 +43,15 @@
     return capacity;
 }
 
+std::int64_t freeMillisOf(const sizer_pool &pool)
+{
+    std::int64_t free = pool.arrivingCpuMillis;
+    for (const sizer_host &host : pool.hosts) {
+        free += host.free ? host.cpuMillis : 0;
+    }
+    return free;
+}
+
 } // namespace
 
 pool_sizer::pool_sizer(milliseconds lead)
@@ -79,6 +88,10 @@
         wanted = std::max(wanted, past.peakMillis * PROVIDED_SHARE * HEADROOM);
     }
     past.wantedMillis = static_cast<std::int64_t>(wanted);
+    if (pool.lackingMillis > 0) {
+        // What there is may be full of lasting tasks, so that only further hosts help.
+        past.wantedMillis = std::max(past.wantedMillis, capacityOf(pool) - freeMillisOf(pool) + pool.lackingMillis);
+    }
     m_used = m_used || need > 0;
     std::map<std::string, instant> freeSince;
     for (const sizer_host &host : pool.hosts) {
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -12,6 +12,8 @@
 // On a worker with more runs than this, ends are collected for a while before the next look.
 constexpr std::size_t RUNS_LOOKED_AT_ONCE = 3;
 constexpr milliseconds ENDS_COLLECTED{ 25 };
+// Pause between looks at a worker whose ends are not recorded yet: its leases are renewed all the same.
+constexpr milliseconds UNRECORDED_LOOK_INTERVAL{ 800 };
 // Pause between looks at a worker that does not answer.
 constexpr milliseconds SILENT_LOOK_INTERVAL{ 300 };
 // A start is repeated this often before the run is stopped instead.
@@ -441,8 +443,8 @@
         return;
     }
     target.endsSeen = highest;
-    // The next look tells the worker that the ends may be forgotten, so it waits for the record.
-    target.holdNotBefore = now + milliseconds(60000);
+    // The next look tells the worker that the ends may be forgotten, so it waits for the record, but not for long.
+    target.holdNotBefore = now + UNRECORDED_LOOK_INTERVAL;
     m_listener.whenDurable(m_lifetime.guard([this, where = addressOf(target), highest](instant then) {
         worker *recorded = m_model.workers().find(where.id);
         if (recorded != nullptr && recorded->report.born == where.born) {
--- a/packages/jobs/src/upkeep_driver.cpp
+++ b/packages/jobs/src/upkeep_driver.cpp
@@ -10,8 +10,11 @@
 
 // Time that a host spends being emptied and being seen again, besides its upkeep.
 constexpr milliseconds EMPTYING_TIME{ 2500 };
-// The last part of the deadline is left as a reserve.
+// The last part of the deadline is left as a reserve for failures, and at least this time.
+constexpr double DEADLINE_RESERVE_SHARE = 0.35;
 constexpr milliseconds DEADLINE_RESERVE{ 4000 };
+// Lasting tasks move in turns, so that a few hosts serve many.
+constexpr int MOST_HOSTS_LACKING = 4;
 
 } // namespace
 
@@ -84,6 +87,7 @@
 
 void upkeep_driver::tick(instant now, wall_ms wall)
 {
+    m_stuckHosts.clear();
     for (auto &[number, progress] : m_waves) {
         if (progress.known && !progress.shownCompleted) {
             show(progress);
@@ -135,7 +139,9 @@
         }
     }
     const auto sinceKnown = milliseconds(wall - std::min(wall, progress.knownAt));
-    const milliseconds timeLeft = std::max(milliseconds(0), milliseconds(progress.wave.deadline) - DEADLINE_RESERVE - sinceKnown);
+    const milliseconds deadline = progress.wave.deadline;
+    const milliseconds share(static_cast<std::int64_t>(static_cast<double>(deadline.count()) * DEADLINE_RESERVE_SHARE));
+    const milliseconds timeLeft = std::max(milliseconds(0), deadline - std::max(share, DEADLINE_RESERVE) - sinceKnown);
     const milliseconds perHost = m_model.bounds().upkeepTime + EMPTYING_TIME;
     int wanted = hostsNeededAtOnce(left, timeLeft, perHost, progress.wave.maximum) - down;
     std::sort(loaded.begin(), loaded.end(), [](const auto &first, const auto &second) {
@@ -146,7 +152,9 @@
         worker &target = *m_roster.workerOn(*host);
         target.cordoned = wanted > 0 || target.cordoned;
         wanted -= target.cordoned ? 1 : 0;
-        moveLastingAway(target, now);
+        if (!moveLastingAway(target, now)) {
+            ++m_stuckHosts[target.report.pool];
+        }
     }
 }
 
@@ -162,7 +170,13 @@
                     now);
 }
 
-void upkeep_driver::moveLastingAway(worker &target, instant now)
+int upkeep_driver::hostsLacking(const std::string &pool) const
+{
+    const auto found = m_stuckHosts.find(pool);
+    return found == m_stuckHosts.end() ? 0 : std::min(found->second, MOST_HOSTS_LACKING);
+}
+
+bool upkeep_driver::moveLastingAway(worker &target, instant now)
 {
     std::vector<task_key> lasting;
     for (const auto &[key, run] : target.runs) {
@@ -170,12 +184,16 @@
             lasting.push_back(key);
         }
     }
+    bool placed = true;
     for (const task_key &key : lasting) {
-        if (mayEvict(key) && hasOtherPlace(target, key, now)) {
+        if (!hasOtherPlace(target, key, now)) {
+            placed = false;
+        } else if (mayEvict(key)) {
             m_log.write("run-evicted", { { "task", key.text() }, { "worker", target.report.id } });
             m_runs.stop(key, now);
         }
     }
+    return placed;
 }
 
 bool upkeep_driver::hasOtherPlace(const worker &from, const task_key &key, instant now) const
--- a/packages/jobs/test/pool_sizer_test.cpp
+++ b/packages/jobs/test/pool_sizer_test.cpp
@@ -16,10 +16,10 @@
 public:
     turning_fleet(int poolCount, int hostsEach, int hostsOff)
     {
-        m_pools.push_back({ "off", true, {}, 0, 0, 0, 0, 0, 0 });
+        m_pools.push_back({ "off", true, {}, 0, 0, 0, 0, 0, 0, 0 });
         addHosts(m_pools[0], hostsOff);
         for (int i = 0; i < poolCount; ++i) {
-            m_pools.push_back({ "pool-" + std::to_string(i), false, {}, 0, 0, 0, 0, 0, 0 });
+            m_pools.push_back({ "pool-" + std::to_string(i), false, {}, 0, 0, 0, 0, 0, 0, 0 });
             addHosts(m_pools.back(), hostsEach);
         }
     }
@@ -46,6 +46,12 @@
         m_pools[pool].offeredMillis = hosts * HOST_MILLIS;
     }
 
+    // The pool cannot empty hosts that are due without this many more.
+    void lack(std::size_t pool, int hosts)
+    {
+        m_pools[pool].lackingMillis = hosts * HOST_MILLIS;
+    }
+
     int hostsOf(std::size_t pool) const
     {
         return static_cast<int>(m_pools[pool].hosts.size());
@@ -197,3 +203,17 @@
     fleet.play({ 1, 20 }, milliseconds(150));
     cr_assert_lt(fleet.hostsOf(1), before);
 }
+
+// Lasting tasks that keep apart fill every host of their pool with little load; none can be emptied for its upkeep.
+Test(pool_sizer, bringsHostsThatEmptyOthersForTheirUpkeep)
+{
+    turning_fleet fleet(2, 6, 6);
+    fleet.play({ 3, 1 }, seconds(8));
+    const int before = fleet.hostsOf(1);
+    fleet.lack(1, 2);
+    fleet.play({ 3, 1 }, seconds(3));
+    cr_assert_geq(fleet.hostsOf(1), before + 1);
+    fleet.lack(1, 0);
+    fleet.play({ 3, 1 }, seconds(5));
+    cr_assert_eq(fleet.hostsOf(1), before);
+}
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -261,3 +261,22 @@
     const int starts = item.platform.workerNamed("w1").starts + item.platform.workerNamed("worker-2").starts;
     cr_assert(starts > JOBS * 9 / 10, "%d of %d", starts, JOBS);
 }
+
+// Ends that wait for their record must not cost the other runs of the worker their leases.
+Test(ownership, renewsLeasesWhileEndsCannotBeRecorded)
+{
+    fleet item;
+    item.platform.runTime = [](const task_key &key) {
+        return key.index == 0 ? milliseconds(300) : milliseconds(7000);
+    };
+    item.begin("entry-1", 11).setPeerConfirmation([](instant) { return true; });
+    item.platform.advance(milliseconds(500));
+    cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
+    item.platform.linksOf("entry-1").storeDown = true;
+    item.platform.advance(milliseconds(5500));
+    item.platform.linksOf("entry-1").storeDown = false;
+    item.platform.advance(seconds(4));
+    const int starts = item.platform.workerNamed("w1").starts + item.platform.workerNamed("worker-2").starts;
+    cr_assert_eq(starts, 4, "%d", starts);
+    cr_assert_eq(item.platform.doneRuns(), 4);
+}
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -28,18 +28,25 @@
         return value == nullptr ? "" : value;
     }
 
-    std::uint64_t number(const char *name, std::uint64_t fallback) const
+    // A parameter of the query; empty when it is missing.
+    std::string text(const char *name) const
     {
-        const char *text = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(raw));
+        const char *query = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(raw));
         evkeyvalq parameters{};
-        if (text == nullptr || evhttp_parse_query_str(text, &parameters) != 0) {
-            return fallback;
+        if (query == nullptr || evhttp_parse_query_str(query, &parameters) != 0) {
+            return {};
         }
         const char *value = evhttp_find_header(&parameters, name);
-        const std::uint64_t result = value == nullptr ? fallback : std::strtoull(value, nullptr, 10);
+        std::string result = value == nullptr ? "" : value;
         evhttp_clear_headers(&parameters);
         return result;
     }
+
+    std::uint64_t number(const char *name, std::uint64_t fallback) const
+    {
+        const std::string value = text(name);
+        return value.empty() ? fallback : std::strtoull(value.c_str(), nullptr, 10);
+    }
 };
 
 class http_server
