Expect a turn that has just begun to grow; refuse at once where no owner has been known for long

Cause: in the first second of a turn half of its load is there, so that hosts for the other half were ordered a second late; cut-off processes held new calls for a second each and stayed ready for 1.5 s. Ruled out: the rate of host orders (not reached then). Tests: pool_sizer expectsATurnThatHasJustBegunToGrow, call_router refusesAtOnceWhenItHasHadNoOwnerForLong.

--- a/packages/jobs/include/jujubespool/jobs/turn_forecast.h
+++ b/packages/jobs/include/jujubespool/jobs/turn_forecast.h
@@ -30,6 +30,8 @@
     // The next peak that has not begun by now, if the last ones were regular.
     std::optional<expected_turn> next(instant now) const;
     bool hadTurn(const std::string &pool) const;
+    // The pool's turn has begun a moment ago, so that what is handed in still grows.
+    bool isRising(const std::string &pool, instant now) const;
     // The work that is handed in for the pool has fallen far below its peak.
     bool isOver(const std::string &pool) const;
 
--- a/packages/jobs/src/pool_sizer.cpp
+++ b/packages/jobs/src/pool_sizer.cpp
@@ -21,6 +21,8 @@
 // Part of the last peak at which a rise counts as the next one, and the part of it that is then provided.
 constexpr double RISE_SHARE = 0.3;
 constexpr double PROVIDED_SHARE = 0.8;
+// What is offered in the first moments of a turn grows by this before the hosts for it are there.
+constexpr double RISE_GROWTH = 2;
 // A host that has been free for so long is switched off: two moves cost about as much as it does meanwhile.
 constexpr milliseconds FREE_BEFORE_OFF{ 1500 };
 constexpr milliseconds FREE_BEFORE_OFF_AFTER_TURN{ 300 };
@@ -75,11 +77,12 @@
 void pool_sizer::updateNeed(const sizer_pool &pool, duration elapsed, instant now)
 {
     history &past = m_pools[pool.name];
-    const double backlog = static_cast<double>(pool.usedMillis + pool.waitingMillis) + LATE_SHARE * static_cast<double>(pool.lateMillis);
-    const double need = std::max(backlog, static_cast<double>(pool.offeredMillis));
     if (!pool.standby) {
         m_forecast.note(pool.name, pool.offeredMillis, now);
     }
+    const double backlog = static_cast<double>(pool.usedMillis + pool.waitingMillis) + LATE_SHARE * static_cast<double>(pool.lateMillis);
+    const double growth = m_forecast.isRising(pool.name, now) ? RISE_GROWTH : 1;
+    const double need = std::max(backlog, growth * static_cast<double>(pool.offeredMillis));
     const bool rising = need > past.heldMillis;
     past.peakMillis = std::max(need, halved(past.peakMillis, elapsed, PEAK_HALF_LIFE_S));
     past.heldMillis = std::max(need, halved(past.heldMillis, elapsed, m_forecast.isOver(pool.name) ? HELD_AFTER_TURN_S : HELD_HALF_LIFE_S));
--- a/packages/jobs/src/turn_forecast.cpp
+++ b/packages/jobs/src/turn_forecast.cpp
@@ -17,6 +17,7 @@
 // A turn has ended when the load was low for this long.
 constexpr milliseconds LOW_BEFORE_END{ 600 };
 constexpr std::size_t TURNS_KEPT = 12;
+constexpr milliseconds RISE_TIME{ 1500 };
 // Gaps between turns that have to agree, and how far they may differ from their median.
 constexpr std::size_t GAPS_AGREEING = 2;
 constexpr double GAP_TOLERANCE = 0.25;
@@ -59,6 +60,11 @@
     return std::any_of(m_turns.begin(), m_turns.end(), [&pool](const begun_turn &turn) { return turn.pool == pool; });
 }
 
+bool turn_forecast::isRising(const std::string &pool, instant now) const
+{
+    return !m_turns.empty() && m_turns.back().pool == pool && now - m_turns.back().at < RISE_TIME;
+}
+
 bool turn_forecast::isOver(const std::string &pool) const
 {
     const auto found = m_loads.find(pool);
--- a/packages/jobs/test/pool_sizer_test.cpp
+++ b/packages/jobs/test/pool_sizer_test.cpp
@@ -217,3 +217,13 @@
     fleet.play({ 3, 1 }, seconds(5));
     cr_assert_eq(fleet.hostsOf(1), before);
 }
+
+// At the first sign of a pool's first turn the load still grows; hosts that are ordered later come late.
+Test(pool_sizer, expectsATurnThatHasJustBegunToGrow)
+{
+    turning_fleet fleet(4, 6, 30);
+    fleet.play({ 2, 2, 2, 2 }, seconds(12));
+    fleet.offer(1, 12);
+    fleet.play({ 3, 2, 2, 2 }, milliseconds(1650));
+    cr_assert_geq(fleet.hostsOf(1), 24, "%d", fleet.hostsOf(1));
+}
--- a/packages/manager/include/jujubespool/manager/call_router.h
+++ b/packages/manager/include/jujubespool/manager/call_router.h
@@ -46,6 +46,8 @@
     decision_log &m_log;
     local_handler m_local;
     std::uint64_t m_owner = 0;
+    // Since when no owner has been known, after one was.
+    std::optional<instant> m_ownerlessSince;
     std::uint64_t m_nextCall = 1;
     std::map<std::uint64_t, pending_call> m_pending;
 };
--- a/packages/manager/src/call_router.cpp
+++ b/packages/manager/src/call_router.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 // Without an owner, a request waits this long for one before it is refused.
-constexpr milliseconds OWNER_WAIT{ 1000 };
+constexpr milliseconds OWNER_WAIT{ 700 };
 // A request that was passed on and has no answer is passed on again, and given up in the end.
 constexpr milliseconds REPEAT_INTERVAL{ 700 };
 constexpr milliseconds GIVE_UP{ 2600 };
@@ -27,6 +27,7 @@
 {
     m_local = std::move(local);
     m_owner = 0;
+    m_ownerlessSince.reset();
     std::vector<std::uint64_t> waiting;
     for (const auto &[id, item] : m_pending) {
         waiting.push_back(id);
@@ -46,6 +47,7 @@
     if (m_owner == incarnation) {
         return;
     }
+    m_ownerlessSince = incarnation == 0 ? std::optional(now) : std::nullopt;
     m_owner = incarnation;
     for (auto &[id, item] : m_pending) {
         dispatch(id, now);
@@ -137,8 +139,11 @@
 {
     std::vector<std::uint64_t> repeated;
     std::vector<std::uint64_t> refused;
+    // A process that has had no owner for long does not expect one for what comes now.
+    const bool ownerless = !m_local && m_ownerlessSince && now - *m_ownerlessSince >= OWNER_WAIT;
     for (const auto &[id, item] : m_pending) {
-        if (now - item.receivedAt >= GIVE_UP || (item.passes == 0 && now - item.receivedAt >= OWNER_WAIT)) {
+        const bool unowned = item.passes == 0 && (ownerless || now - item.receivedAt >= OWNER_WAIT);
+        if (now - item.receivedAt >= GIVE_UP || unowned) {
             refused.push_back(id);
         } else if (!m_local && (item.passes == 0 || now - item.sentAt >= REPEAT_INTERVAL)) {
             repeated.push_back(id);
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds STOP_LEAST{ 2600 };
 constexpr milliseconds STOP_LONGEST{ 5000 };
 // A process that cannot serve for this long sends callers elsewhere; a change of owner takes less.
-constexpr milliseconds UNSERVED_BEFORE_UNREADY{ 1500 };
+constexpr milliseconds UNSERVED_BEFORE_UNREADY{ 700 };
 // A stronger host asks the owner to hand over after hearing it for this long.
 constexpr milliseconds HANDOVER_PATIENCE{ 1500 };
 constexpr int STATUS_OK = 200;
--- a/packages/manager/test/call_router_test.cpp
+++ b/packages/manager/test/call_router_test.cpp
@@ -98,6 +98,19 @@
     cr_assert_eq(fixture.status, item.expected, "%s %d: %d", item.method, item.answered, fixture.status);
 }
 
+// A data centre that is cut off knows that it cannot serve; a caller that waits for nothing comes back later elsewhere.
+Test(call_router, refusesAtOnceWhenItHasHadNoOwnerForLong)
+{
+    router_fixture fixture;
+    fixture.passToOwner(FIRST_OWNER);
+    fixture.passToOwner(0);
+    const instant later = fixture.now + seconds(2);
+    fixture.router.handle(
+        { "POST", "h", "/q/1", {}, {} }, [&](const http_reply &reply) { fixture.status = reply.status; }, later);
+    fixture.router.tick(later + milliseconds(25));
+    cr_assert_eq(fixture.status, 503);
+}
+
 Test(call_router, refusesWhatWasNeverPassedOnAndDoesNotKnowOfWhatWas)
 {
     for (const bool reachable : { true, false }) {
