Judge workers by jobs, share a full pool by weights, keep a job's tasks in one data centre

A worker is now judged by the number of jobs that fail on it, and an avoided one is no supply. A team that sends many times its usual took the whole pool; the rank had a field for it that nothing set.

--- a/packages/jobs/include/jujubespool/jobs/placement.h
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -3,7 +3,8 @@
 //     worker *target = chooseWorker(workersOfThePool, request, now);
 //
 // Tasks that end are packed, so that whole workers stay free for large tasks and for switching off. Tasks that
-// last and tasks that fill are spread, because they disturb each other.
+// last and tasks that fill are spread, because they disturb each other. The tasks of a job that ends keep to one data
+// centre where they fit, so that the loss of a data centre delays few jobs instead of a part of nearly all.
 #pragma once
 
 #include <functional>
@@ -18,6 +19,8 @@
     std::string pool;
     // Rack on which the task has to run; empty for any.
     std::string rack;
+    // Data centre that the job keeps to if it can; empty for any.
+    std::string homeDataCenter;
     // Worker on which the task failed last; taken only if no other fits.
     std::string avoid;
     // Further condition on the worker, if any.
--- a/packages/jobs/include/jujubespool/jobs/worker_book.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_book.h
@@ -92,7 +92,8 @@
     bool released = false;
     // The host has to be emptied for its upkeep some time.
     bool dueForUpkeep = false;
-    int failuresInRow = 0;
+    // Jobs of which a run failed here since a run last ended well.
+    std::set<std::string> jobsFailed;
 
     bool hasLabel(const std::string &label) const;
     std::string rack() const;
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -46,7 +46,8 @@
         const bool opensHost = crowded || lastingRuns(target) == 0;
         return { failedHere || target.dueForUpkeep, farFromData, opensHost ? 1 : 0, lastingRuns(target), -room };
     }
-    return { failedHere, farFromData, target.dueForUpkeep ? 1 : 0, 0, room };
+    const bool away = !request.homeDataCenter.empty() && target.report.dataCenter != request.homeDataCenter;
+    return { failedHere, farFromData, target.dueForUpkeep ? 1 : 0, away ? 1 : 0, room };
 }
 
 } // namespace
--- a/packages/jobs/src/pool_mover.cpp
+++ b/packages/jobs/src/pool_mover.cpp
@@ -153,7 +153,8 @@
         const bool draining = target != nullptr && (target->report.state == worker_state::draining || !target->listed);
         const bool unused = target == nullptr ? found->second.standby : target->runs.empty();
         const bool free = m_roster.orderable(host, now) && unused;
-        const bool leaving = target != nullptr && target->cordoned;
+        // A worker that is silent or fails is no supply.
+        const bool leaving = target != nullptr && (target->cordoned || now < target->avoidUntil);
         const bool lasting = target != nullptr
             && std::any_of(target->runs.begin(), target->runs.end(), [](const auto &item) { return item.second.lasting; });
         if (!draining && !leaving) {
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <jujubespool/jobs/placement.h>
+#include <jujubespool/jobs/team_shares.h>
 #include <tuple>
 
 namespace jujubespool {
@@ -32,7 +33,9 @@
     {
         for (auto &[id, target] : model.workers().all()) {
             if (mayTake(target, now)) {
-                m_room[target.report.pool].workers.push_back(&target);
+                pool_room &room = m_room[target.report.pool];
+                room.workers.push_back(&target);
+                room.dataCenters.insert(target.report.dataCenter);
             }
         }
     }
@@ -53,8 +56,19 @@
     struct pool_room
     {
         std::vector<worker *> workers;
+        std::set<std::string> dataCenters;
         std::vector<resources> tooLarge;
 
+        // The same for all steps of a job as long as no data centre is lost; jobs are spread evenly.
+        std::string homeOf(const std::string &job) const
+        {
+            if (dataCenters.empty()) {
+                return {};
+            }
+            const auto index = static_cast<std::ptrdiff_t>(std::hash<std::string>()(job) % dataCenters.size());
+            return *std::next(dataCenters.begin(), index);
+        }
+
         // Room only shrinks during a pass, so that what needs as much as an earlier task does not fit either.
         bool knownFull(const step_spec &step) const
         {
@@ -115,7 +129,7 @@
     placement_request requestFor(const job &item, const queue_config &queue, const task_key &key) const
     {
         const step_spec &step = item.step(key.step);
-        placement_request request{ key, &step, queue.pool, {}, {}, {} };
+        placement_request request{ key, &step, queue.pool, {}, {}, {}, {} };
         const auto &tasks = item.occurrences().at(key.occurrence).steps[static_cast<std::size_t>(key.step)];
         const task_progress &task = tasks[static_cast<std::size_t>(key.index)];
         if (task.failures > 0 || step.longRunning) {
@@ -139,6 +153,7 @@
         placement_request request = requestFor(item, queue, key);
         request.rack = rack;
         pool_room &room = m_room[queue.pool];
+        request.homeDataCenter = room.homeOf(key.job);
         const bool plain = step.maxPerWorker == 0 && step.requiredLabel.empty() && rack.empty() && !queue.advice && !step.fills;
         if (room.knownFull(step)) {
             return false;
@@ -247,21 +262,111 @@
     return rank;
 }
 
+namespace {
+
+// What a job uses and waits for now, in thousandths of a processor.
+struct job_load
+{
+    std::int64_t usedMillis = 0;
+    std::int64_t waitingMillis = 0;
+};
+
+job_load loadOf(const job &item)
+{
+    job_load load;
+    for (const auto &[number, occurrence] : item.occurrences()) {
+        for (std::size_t step = 0; !occurrence.ended && step < occurrence.steps.size(); ++step) {
+            const step_spec &spec = item.step(static_cast<int>(step));
+            if (spec.fills || occurrence.open[step] == 0) {
+                continue;
+            }
+            const bool ready = item.stepReady(occurrence, static_cast<int>(step));
+            for (const task_progress &task : occurrence.steps[step]) {
+                load.usedMillis += task.phase == task_phase::assigned ? spec.each.cpuMillis : 0;
+                load.waitingMillis += ready && task.phase == task_phase::waiting ? spec.each.cpuMillis : 0;
+            }
+        }
+    }
+    return load;
+}
+
+struct ranked_job
+{
+    job_rank rank;
+    job *item = nullptr;
+    const queue_config *queue = nullptr;
+    job_load load;
+};
+
+// Marks jobs whose team has its share of the pool without them.
+class share_marker
+{
+public:
+    share_marker(const fleet_model &model, const std::vector<ranked_job> &jobs)
+    {
+        std::map<std::string, std::int64_t> capacity;
+        for (const auto &[id, target] : model.workers().all()) {
+            capacity[target.report.pool] += target.listed ? target.report.capacity.cpuMillis : 0;
+        }
+        std::map<std::string, std::map<std::string, std::int64_t>> demand;
+        for (const ranked_job &job : jobs) {
+            const std::string &team = job.item->request().team;
+            demand[job.queue->pool][team] += job.load.usedMillis + job.load.waitingMillis;
+            m_given[job.queue->pool][team] += job.load.usedMillis;
+        }
+        for (const auto &[pool, teams] : demand) {
+            std::vector<team_demand> demands;
+            for (const auto &[team, millis] : teams) {
+                const auto config = model.config().teams.find(team);
+                const double weight = config == model.config().teams.end() ? 1 : std::max(config->second.weight, LEAST_WEIGHT);
+                demands.push_back({ team, weight, millis });
+            }
+            m_shares[pool] = fairShares(capacity[pool], demands);
+        }
+    }
+
+    // To be called in the order in which the jobs are taken.
+    bool isBeyond(const ranked_job &job)
+    {
+        const std::string &team = job.item->request().team;
+        std::int64_t &given = m_given[job.queue->pool][team];
+        const bool beyond = job.load.waitingMillis > 0 && static_cast<double>(given) >= m_shares[job.queue->pool][team];
+        given += job.load.waitingMillis;
+        return beyond;
+    }
+
+private:
+    static constexpr double LEAST_WEIGHT = 0.001;
+
+    std::map<std::string, std::map<std::string, double>> m_shares;
+    std::map<std::string, std::map<std::string, std::int64_t>> m_given;
+};
+
+} // namespace
+
 schedule_result run_scheduler::decide(fleet_model &model, const advice_book &advice, instant now, wall_ms wall) const
 {
     schedule_result result;
-    std::vector<std::pair<job_rank, job *>> order;
+    std::vector<ranked_job> order;
     for (const std::string &id : model.live()) {
         job *item = model.find(id);
         const queue_config *queue = model.queueOf(*item);
         if (queue != nullptr) {
-            order.emplace_back(rankOf(*item, *queue, wall), item);
+            order.push_back({ rankOf(*item, *queue, wall), item, queue, loadOf(*item) });
         }
     }
-    std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    const auto byRank = [](const ranked_job &left, const ranked_job &right) {
+        return left.rank < right.rank;
+    };
+    std::sort(order.begin(), order.end(), byRank);
+    share_marker shares(model, order);
+    for (ranked_job &job : order) {
+        job.rank.beyondShare = shares.isBeyond(job);
+    }
+    std::sort(order.begin(), order.end(), byRank);
     pass scheduling(model, advice, now, result);
-    for (const auto &[rank, item] : order) {
-        scheduling.schedule(*item, *model.queueOf(*item));
+    for (const ranked_job &job : order) {
+        scheduling.schedule(*job.item, *job.queue);
     }
     return result;
 }
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -22,8 +22,9 @@
 // A worker that refused or was silent gets no new work for this long, doubled each time up to the longest.
 constexpr milliseconds FIRST_AVOID{ 300 };
 constexpr milliseconds LONGEST_AVOID{ 6000 };
-// Runs that a worker may fail in a row, of any jobs, before it is avoided.
-constexpr int FAILURES_TOLERATED = 2;
+// A worker that fails runs of this many jobs without a good end between is avoided. One job proves nothing, since a
+// job that cannot be done fails everywhere.
+constexpr std::size_t FAILED_JOBS_TOLERATED = 2;
 constexpr milliseconds FAILING_AVOID{ 2000 };
 // A serving task is protected once its tail exceeds the first share of its target; filling tasks speed up
 // again below the second.
@@ -459,19 +460,19 @@
 void run_supervisor::judge(worker &target, const finished_run &finished, instant now)
 {
     if (finished.end == run_end::done) {
-        target.failuresInRow = 0;
+        target.jobsFailed.clear();
         target.avoidStep = milliseconds(0);
         return;
     }
     if (finished.end != run_end::failed) {
         return;
     }
-    ++target.failuresInRow;
-    if (target.failuresInRow >= FAILURES_TOLERATED) {
+    target.jobsFailed.insert(finished.task.job);
+    if (target.jobsFailed.size() >= FAILED_JOBS_TOLERATED) {
         avoid(target, FAILING_AVOID, now);
         m_log.write("worker-avoided",
                     { { "worker", target.report.id },
-                      { "failures_in_row", std::to_string(target.failuresInRow) },
+                      { "jobs_failed", std::to_string(target.jobsFailed.size()) },
                       { "for_ms", std::to_string(target.avoidStep.count()) } });
     }
 }
--- a/packages/jobs/src/upkeep_driver.cpp
+++ b/packages/jobs/src/upkeep_driver.cpp
@@ -199,7 +199,7 @@
 bool upkeep_driver::hasOtherPlace(const worker &from, const task_key &key, instant now) const
 {
     const step_spec &step = m_model.find(key.job)->step(key.step);
-    const placement_request request{ key, &step, from.report.pool, {}, {}, {} };
+    const placement_request request{ key, &step, from.report.pool, {}, {}, {}, {} };
     const auto &workers = m_model.workers().all();
     return std::any_of(workers.begin(), workers.end(), [&](const auto &item) {
         return item.first != from.report.id && !item.second.dueForUpkeep && couldTake(item.second, request, now);
--- /dev/null
+++ b/packages/jobs/test/run_scheduler_test.cpp
@@ -0,0 +1,101 @@
+#include <criterion/criterion.h>
+#include <jujubespool/jobs/run_scheduler.h>
+#include <set>
+
+namespace {
+
+using namespace jujubespool;
+
+constexpr instant NOW{ seconds(100) };
+constexpr wall_ms WALL = 1800000000000;
+const std::vector<std::string> DATA_CENTERS{ "a", "b", "c" };
+
+// A pool of workers in three data centres and the jobs that are handed in for it.
+class pool_fixture
+{
+public:
+    explicit pool_fixture(int workersEach)
+    {
+        auto config = std::make_shared<fleet_config>();
+        config->queues.push_back({});
+        config->queues[0].name = "q";
+        config->queues[0].pool = "pool";
+        config->pools["pool"] = { "pool", true, false, {} };
+        model.setConfig(config);
+        for (const std::string &center : DATA_CENTERS) {
+            for (int i = 0; i < workersEach; ++i) {
+                const std::string id = center + std::to_string(i);
+                model.workers().report({ id, id + ":1", "pool", center, worker_state::ready, { 64000, 128000, 0 }, {}, 1, {} }, NOW);
+                worker &target = *model.workers().find(id);
+                target.looked = true;
+                target.clockKnown = true;
+            }
+        }
+    }
+
+    void submit(int number, int tasks)
+    {
+        job_request request;
+        request.id = "00000000000" + std::to_string(10000 + number);
+        request.queue = "q";
+        step_spec step;
+        step.count = tasks;
+        step.each = { 6000, 4000, 0 };
+        step.estimated = milliseconds(800);
+        request.steps.push_back(step);
+        job &item = model.add(job::accept(request, WALL));
+        item.openDueOccurrences(WALL);
+    }
+
+    void schedule()
+    {
+        scheduler.decide(model, advice, NOW, WALL);
+    }
+
+    // Jobs with a running task in the data centre.
+    std::size_t jobsIn(const std::string &center) const
+    {
+        std::set<std::string> jobs;
+        for (const auto &[id, target] : model.workers().all()) {
+            for (const auto &[key, run] : target.runs) {
+                if (target.report.dataCenter == center) {
+                    jobs.insert(key.job);
+                }
+            }
+        }
+        return jobs.size();
+    }
+
+    fleet_model model{ manager_bounds() };
+    run_scheduler scheduler;
+    advice_book advice;
+};
+
+} // namespace
+
+// When a data centre is lost in the middle of a peak, only the jobs that keep to it are late.
+Test(run_scheduler, keepsAJobInOneDataCenterWhereItFits)
+{
+    constexpr int JOBS = 30;
+    pool_fixture fixture(12);
+    for (int i = 0; i < JOBS; ++i) {
+        fixture.submit(i, 8);
+        fixture.schedule();
+    }
+    for (const std::string &center : DATA_CENTERS) {
+        cr_assert_leq(fixture.jobsIn(center), JOBS / 2, "%s: %zu", center.c_str(), fixture.jobsIn(center));
+        cr_assert_geq(fixture.jobsIn(center), 5, "%s: %zu", center.c_str(), fixture.jobsIn(center));
+    }
+}
+
+Test(run_scheduler, usesEveryWorkerWhenThePoolIsFull)
+{
+    pool_fixture fixture(2);
+    for (int i = 0; i < 20; ++i) {
+        fixture.submit(i, 8);
+    }
+    fixture.schedule();
+    for (const auto &[id, target] : fixture.model.workers().all()) {
+        cr_assert_lt(target.room().cpuMillis, 6000, "%s", id.c_str());
+    }
+}
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -231,6 +231,7 @@
 
 fake_platform::fake_platform()
     : runTime([](const task_key &) { return milliseconds(200); })
+    , hopeless([](const task_key &) { return false; })
     , m_now(seconds(1000))
 {
 }
@@ -416,7 +417,8 @@
         = duration_cast<milliseconds>(m_now.time_since_epoch()).count() + static_cast<std::int64_t>(target.report.id.size()) * 1000;
     target.until = std::max(target.until, m_now + milliseconds(order.untilMs - clock));
     ++target.starts;
-    target.running[order.task] = { order.run, m_now + runTime(order.task), target.failsAll ? run_end::failed : run_end::done, {} };
+    target.running[order.task]
+        = { order.run, m_now + runTime(order.task), target.failsAll || hopeless(order.task) ? run_end::failed : run_end::done, {} };
     m_runningOn[order.task].insert(target.report.id);
     return { order_end::accepted, std::nullopt, {} };
 }
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -79,6 +79,8 @@
     void setConfig(const fleet_config &config);
     // How long a task's run takes; by default 200 ms.
     std::function<milliseconds(const task_key &)> runTime;
+    // Whether a task's runs fail wherever they are; by default none does.
+    std::function<bool(const task_key &)> hopeless;
 
     platform_clients clientsOf(const std::string &process);
     fake_links &linksOf(const std::string &process);
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -280,3 +280,53 @@
     cr_assert_eq(starts, 4, "%d", starts);
     cr_assert_eq(item.platform.doneRuns(), 4);
 }
+
+// A job that cannot be done fails everywhere. What it leaves behind must not keep other jobs from the workers.
+Test(ownership, aHopelessJobDoesNotMakeWorkersAvoided)
+{
+    fleet item;
+    const std::string hopeless = "00000000000000b0";
+    item.platform.hopeless = [&](const task_key &key) {
+        return key.job == hopeless;
+    };
+    item.begin("entry-1", 11);
+    item.platform.advance(milliseconds(500));
+    cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + hopeless, "16"), 200);
+    item.platform.advance(milliseconds(900));
+    cr_assert_eq(item.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "16"), 200);
+    item.platform.advance(milliseconds(700));
+    cr_assert_eq(item.platform.doneRuns(), 16, "%d", item.platform.doneRuns());
+}
+
+// One team hands in many times more than the others. Its flood of short jobs must not keep a job of another team waiting.
+Test(ownership, aFloodOfOneTeamDoesNotDelayTheOthers)
+{
+    fleet item;
+    fleet_config config = configWithOneQueue();
+    config.version = 2;
+    config.queues[0].openToAll = false;
+    config.teams["hot"] = { "hot", 1, {} };
+    config.teams["calm"] = { "calm", 1, {} };
+    config.keys = { { "hot-key", "hot" }, { "calm-key", "calm" } };
+    item.platform.setConfig(config);
+    item.platform.runTime = [](const task_key &) {
+        return milliseconds(400);
+    };
+    item.begin("entry-1", 11);
+    item.platform.advance(milliseconds(500));
+    const auto submit = [&](const std::string &id, const char *key, const char *tasks) {
+        item.sessions.at("entry-1")->handle({ "POST", "h", QUEUE_PATH + id, key, tasks }, item.platform.now(), [](const http_reply &) {});
+    };
+    constexpr int FLOOD = 60;
+    for (int i = 0; i < FLOOD; ++i) {
+        submit("00000000000" + std::to_string(10000 + i), "hot-key", "2");
+    }
+    item.platform.advance(milliseconds(200));
+    submit(FIRST_JOB, "calm-key", "8");
+    item.platform.advance(milliseconds(1300));
+    std::optional<job_state> state;
+    item.sessions.at("entry-1")->handle({ "GET", "h", QUEUE_PATH + FIRST_JOB, "calm-key", {} }, item.platform.now(),
+                                        [&](const http_reply &reply) { state = valueOf<job_state>(reply.body); });
+    item.platform.advance(milliseconds(50));
+    cr_assert(state == job_state::completed);
+}
