--- a/packages/jobs/include/jujubespool/jobs/gateways.h
+++ b/packages/jobs/include/jujubespool/jobs/gateways.h
@@ -145,6 +145,9 @@
     std::string address;
 };
 
+// Names the life of the worker that is known now.
+worker_address addressOf(const worker &target);
+
 struct start_order
 {
     worker_address worker;
--- a/packages/jobs/include/jujubespool/jobs/run_supervisor.h
+++ b/packages/jobs/include/jujubespool/jobs/run_supervisor.h
@@ -31,6 +31,9 @@
     virtual bool ownsSurely(instant now) const = 0;
 };
 
+// A worker that refused or was silent gets no new work for this long, doubled each time.
+constexpr milliseconds FIRST_AVOID{ 300 };
+
 class run_supervisor
 {
 public:
--- /dev/null
+++ b/packages/jobs/src/job_load.cpp
@@ -0,0 +1,24 @@
+#include <jujubespool/jobs/job_load.h>
+
+namespace jujubespool {
+
+job_load loadOf(const job &item)
+{
+    job_load load;
+    for (const auto &[number, occurrence] : item.occurrences()) {
+        for (std::size_t step = 0; !occurrence.ended && step < occurrence.steps.size(); ++step) {
+            const step_spec &spec = item.step(static_cast<int>(step));
+            if (spec.fills || occurrence.open[step] == 0) {
+                continue;
+            }
+            const bool ready = item.stepReady(occurrence, static_cast<int>(step));
+            for (const task_progress &task : occurrence.steps[step]) {
+                load.usedMillis += task.phase == task_phase::assigned ? spec.each.cpuMillis : 0;
+                load.waitingMillis += ready && task.phase == task_phase::waiting ? spec.each.cpuMillis : 0;
+            }
+        }
+    }
+    return load;
+}
+
+} // namespace jujubespool
--- a/packages/jobs/src/pool_mover.cpp
+++ b/packages/jobs/src/pool_mover.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/jobs/pool_mover.h>
 
 #include <algorithm>
+#include <jujubespool/jobs/job_load.h>
 
 namespace jujubespool {
 
@@ -18,24 +19,6 @@
 constexpr milliseconds JOINING_TIME{ 1100 };
 constexpr std::int64_t MILLIS_PER_CORE = 1000;
 
-// Processors that the job's ready and waiting tasks ask for.
-std::int64_t waitingMillisOf(const job &item)
-{
-    std::int64_t millis = 0;
-    for (const auto &[number, occurrence] : item.occurrences()) {
-        for (std::size_t step = 0; !occurrence.ended && step < occurrence.steps.size(); ++step) {
-            const step_spec &spec = item.step(static_cast<int>(step));
-            if (spec.fills || occurrence.open[step] == 0 || !item.stepReady(occurrence, static_cast<int>(step))) {
-                continue;
-            }
-            const auto &tasks = occurrence.steps[step];
-            millis += spec.each.cpuMillis
-                * std::count_if(tasks.begin(), tasks.end(), [](const task_progress &task) { return task.phase == task_phase::waiting; });
-        }
-    }
-    return millis;
-}
-
 // Processors that the job keeps busy for the length of the offer window, if it was handed in within it.
 std::int64_t offeredMillisOf(const job &item, wall_ms wall)
 {
@@ -70,7 +53,7 @@
         if (queue == nullptr) {
             continue;
         }
-        std::int64_t waitingMillis = waitingMillisOf(item);
+        std::int64_t waitingMillis = loadOf(item).waitingMillis;
         std::int64_t offeredMillis = offeredMillisOf(item, wall);
         const auto team = model.config().teams.find(item.request().team);
         if (team != model.config().teams.end() && team->second.limit.cpuMillis > 0) {
--- /dev/null
+++ b/packages/jobs/src/run_looks.cpp
@@ -0,0 +1,266 @@
+// The looks of the run supervisor: what workers list, how runs end, and which workers are judged unfit.
+#include <algorithm>
+#include <jujubespool/jobs/run_supervisor.h>
+
+namespace jujubespool {
+
+namespace {
+
+// How long a worker may wait for an end before it answers a look.
+constexpr milliseconds LOOK_WAIT{ 800 };
+// On a worker with more runs than this, ends are collected for a while before the next look.
+constexpr std::size_t RUNS_LOOKED_AT_ONCE = 3;
+constexpr milliseconds ENDS_COLLECTED{ 25 };
+// Pause between looks at a worker whose ends are not recorded yet: its leases are renewed all the same.
+constexpr milliseconds UNRECORDED_LOOK_INTERVAL{ 800 };
+// Pause between looks at a worker that does not answer.
+constexpr milliseconds SILENT_LOOK_INTERVAL{ 300 };
+// A worker that fails runs of this many jobs without a good end between is avoided. One job proves nothing, since a
+// job that cannot be done fails everywhere.
+constexpr std::size_t FAILED_JOBS_TOLERATED = 2;
+constexpr milliseconds FAILING_AVOID{ 2000 };
+// A serving task is protected once its tail exceeds the first share of its target; filling tasks speed up
+// again below the second.
+constexpr double TAIL_HIGH = 0.8;
+constexpr double TAIL_LOW = 0.55;
+constexpr int PACE_STEP_UP = 10;
+
+} // namespace
+
+bool run_supervisor::needsLook(const worker &target) const
+{
+    if (target.report.address.empty()) {
+        return false;
+    }
+    return !target.runs.empty() || (target.listed && !target.looked) || target.endsRecorded < target.endsSeen;
+}
+
+void run_supervisor::tick(instant now)
+{
+    for (auto &[id, target] : m_model.workers().all()) {
+        if (!target.holdInFlight && now >= target.holdNotBefore && needsLook(target)) {
+            look(target, now);
+        }
+        if (!target.runs.empty() && now >= target.leaseEnd && target.leaseEnd != instant()) {
+            endLapsed(target, now);
+        }
+    }
+    m_model.workers().forgetGone(now);
+}
+
+void run_supervisor::look(worker &target, instant now)
+{
+    look_order order;
+    order.worker = addressOf(target);
+    order.fencingToken = m_token;
+    order.recordedEnds = target.endsRecorded;
+    // A worker that is silent is not given more time blindly.
+    if (target.clockKnown && target.unansweredInRow == 0 && !target.runs.empty() && m_listener.ownsSurely(now)) {
+        order.untilMs = leaseUntil(target, now);
+    }
+    const bool unconfirmed = std::any_of(target.runs.begin(), target.runs.end(), [](const auto &item) { return item.second.stopping; });
+    if (target.looked && target.unansweredInRow == 0 && !unconfirmed) {
+        order.wait = LOOK_WAIT;
+    }
+    target.holdInFlight = true;
+    const worker_address where = order.worker;
+    m_gateway.look(order,
+                   m_lifetime.guard([this, where, now](const look_result &result, instant then) { onLook(where, now, result, then); }));
+}
+
+void run_supervisor::onLook(const worker_address &where, instant sentAt, const look_result &result, instant now)
+{
+    m_log.count("looks_total", nameOf(result.end));
+    worker *target = m_model.workers().find(where.id);
+    if (target == nullptr || target->report.born != where.born) {
+        return;
+    }
+    target->holdInFlight = false;
+    target->holdNotBefore = now;
+    if (result.end == order_end::fenced) {
+        m_listener.onFenced(now);
+        return;
+    }
+    if (result.end != order_end::accepted || (result.born != 0 && result.born != where.born)) {
+        onLookUnanswered(*target, result, now);
+        return;
+    }
+    const bool answersSinceStart = target->startUnansweredAt && sentAt > *target->startUnansweredAt;
+    if (target->unansweredInRow > 0 || answersSinceStart) {
+        m_log.write("worker-answers-again", { { "worker", where.id }, { "unanswered", std::to_string(target->unansweredInRow) } });
+        target->startUnansweredAt.reset();
+        target->avoidUntil = now;
+        target->avoidStep = milliseconds(0);
+    }
+    noteClock(*target, { order_end::accepted, result.clockMs, {} }, now);
+    if (!target->looked) {
+        // From now on only our own renewals count there.
+        target->leaseEnd = std::min(target->leaseEnd, now + m_model.leaseBound());
+        target->looked = true;
+    }
+    reconcile(*target, sentAt, result, now);
+}
+
+void run_supervisor::onLookUnanswered(worker &target, const look_result &result, instant now)
+{
+    ++target.unansweredInRow;
+    target.holdNotBefore = now + SILENT_LOOK_INTERVAL;
+    avoid(target, FIRST_AVOID, now);
+    if (target.unansweredInRow == 1) {
+        m_log.write("worker-silent",
+                    { { "worker", target.report.id },
+                      { "outcome", std::string(nameOf(result.end)) },
+                      { "runs", std::to_string(target.runs.size()) },
+                      { "lease_left_ms", std::to_string(duration_cast<milliseconds>(target.leaseEnd - now).count()) },
+                      { "reason", result.reason.reason } });
+    }
+}
+
+void run_supervisor::reconcile(worker &target, instant sentAt, const look_result &result, instant now)
+{
+    std::set<std::pair<task_key, int>> shown;
+    for (const finished_run &finished : result.finished) {
+        shown.insert({ finished.task, finished.run });
+    }
+    for (const running_run &running : result.running) {
+        shown.insert({ running.task, running.run });
+        const auto placed = target.runs.find(running.task);
+        if (placed == target.runs.end() || placed->second.run != running.run) {
+            m_log.write("unknown-run-stopped",
+                        { { "task", running.task.text() }, { "run", std::to_string(running.run) }, { "worker", target.report.id } });
+            sendStop(running.task, running.run, addressOf(target), now);
+            continue;
+        }
+        placed_run &run = placed->second;
+        run.confirmedAt = run.confirmed ? run.confirmedAt : now;
+        run.confirmed = true;
+        run.progressPercent = running.progressPercent;
+        run.figure = running.figure;
+        job *owner = m_model.find(running.task.job);
+        if (!running.checkpoint.empty()) {
+            owner->task(running.task)->checkpoint = running.checkpoint;
+        }
+        if (owner->ended()) {
+            stop(running.task, now);
+        }
+    }
+    std::vector<task_key> gone;
+    for (const auto &[key, run] : target.runs) {
+        const auto stopped = m_confirmedStops.find({ key, run.run });
+        const bool proven = (run.confirmed && run.confirmedAt < sentAt) || (stopped != m_confirmedStops.end() && stopped->second < sentAt);
+        if (proven && shown.count({ key, run.run }) == 0) {
+            gone.push_back(key);
+        }
+    }
+    for (const task_key &key : gone) {
+        m_log.write("run-gone", { { "task", key.text() }, { "worker", target.report.id } });
+    }
+    m_model.releaseAll(gone);
+    applyEnds(target, result, now);
+    adjustPaces(target);
+    if (!gone.empty() || !result.finished.empty()) {
+        m_listener.onProgress(now);
+    }
+}
+
+void run_supervisor::applyEnds(worker &target, const look_result &result, instant now)
+{
+    std::uint64_t highest = target.endsSeen;
+    for (const finished_run &finished : result.finished) {
+        if (finished.number <= target.endsSeen) {
+            continue;
+        }
+        highest = std::max(highest, finished.number);
+        const bool current = m_model.applyEnd(finished, target.report.id, m_listener.wallNow());
+        m_confirmedStops.erase({ finished.task, finished.run });
+        m_log.count("ends_total", nameOf(finished.end));
+        if (finished.end != run_end::done) {
+            m_log.write("run-ended",
+                        { { "task", finished.task.text() },
+                          { "run", std::to_string(finished.run) },
+                          { "worker", target.report.id },
+                          { "end", std::string(nameOf(finished.end)) },
+                          { "current", current ? "yes" : "no" } });
+        }
+        if (current) {
+            judge(target, finished, now);
+        }
+    }
+    if (highest == target.endsSeen) {
+        return;
+    }
+    target.endsSeen = highest;
+    // The next look tells the worker that the ends may be forgotten, so it waits for the record, but not for long.
+    target.holdNotBefore = now + UNRECORDED_LOOK_INTERVAL;
+    m_listener.whenDurable(m_lifetime.guard([this, where = addressOf(target), highest](instant then) {
+        worker *recorded = m_model.workers().find(where.id);
+        if (recorded != nullptr && recorded->report.born == where.born) {
+            recorded->endsRecorded = std::max(recorded->endsRecorded, highest);
+            const bool busy = recorded->runs.size() > RUNS_LOOKED_AT_ONCE;
+            recorded->holdNotBefore = then + (busy ? ENDS_COLLECTED : milliseconds(0));
+        }
+    }),
+                           now);
+}
+
+void run_supervisor::judge(worker &target, const finished_run &finished, instant now)
+{
+    if (finished.end == run_end::done) {
+        target.jobsFailed.clear();
+        target.avoidStep = milliseconds(0);
+        return;
+    }
+    if (finished.end != run_end::failed) {
+        return;
+    }
+    target.jobsFailed.insert(finished.task.job);
+    target.startUnansweredAt.reset();
+    if (target.jobsFailed.size() >= FAILED_JOBS_TOLERATED) {
+        avoid(target, FAILING_AVOID, now);
+        m_log.write("worker-avoided",
+                    { { "worker", target.report.id },
+                      { "jobs_failed", std::to_string(target.jobsFailed.size()) },
+                      { "for_ms", std::to_string(target.avoidStep.count()) } });
+    }
+}
+
+void run_supervisor::endLapsed(worker &target, instant now)
+{
+    std::vector<task_key> keys;
+    for (const auto &[key, run] : target.runs) {
+        keys.push_back(key);
+    }
+    m_log.write("leases-lapsed",
+                { { "worker", target.report.id },
+                  { "runs", std::to_string(keys.size()) },
+                  { "silent_ms", std::to_string(duration_cast<milliseconds>(now - target.lastAnswer).count()) } });
+    m_model.releaseAll(keys);
+    target.leaseEnd = instant();
+    m_listener.onProgress(now);
+}
+
+void run_supervisor::adjustPaces(worker &target)
+{
+    double worst = 0;
+    for (const auto &[key, run] : target.runs) {
+        if (run.target.count() > 0 && run.confirmed) {
+            worst = std::max(worst, static_cast<double>(run.figure) / static_cast<double>(run.target.count()));
+        }
+    }
+    std::vector<std::pair<task_key, int>> changes;
+    for (const auto &[key, run] : target.runs) {
+        if (!run.fills || !run.confirmed) {
+            continue;
+        }
+        if (worst > TAIL_HIGH && run.pace > 0) {
+            changes.emplace_back(key, worst > 1 ? 0 : run.pace / 2);
+        } else if (worst < TAIL_LOW && run.pace < 100) {
+            changes.emplace_back(key, std::min(100, run.pace + PACE_STEP_UP));
+        }
+    }
+    for (const auto &[key, percent] : changes) {
+        setPace(key, percent);
+    }
+}
+
+} // namespace jujubespool
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <jujubespool/jobs/job_load.h>
 #include <jujubespool/jobs/placement.h>
 #include <jujubespool/jobs/team_shares.h>
 #include <tuple>
@@ -264,32 +265,6 @@
 
 namespace {
 
-// What a job uses and waits for now, in thousandths of a processor.
-struct job_load
-{
-    std::int64_t usedMillis = 0;
-    std::int64_t waitingMillis = 0;
-};
-
-job_load loadOf(const job &item)
-{
-    job_load load;
-    for (const auto &[number, occurrence] : item.occurrences()) {
-        for (std::size_t step = 0; !occurrence.ended && step < occurrence.steps.size(); ++step) {
-            const step_spec &spec = item.step(static_cast<int>(step));
-            if (spec.fills || occurrence.open[step] == 0) {
-                continue;
-            }
-            const bool ready = item.stepReady(occurrence, static_cast<int>(step));
-            for (const task_progress &task : occurrence.steps[step]) {
-                load.usedMillis += task.phase == task_phase::assigned ? spec.each.cpuMillis : 0;
-                load.waitingMillis += ready && task.phase == task_phase::waiting ? spec.each.cpuMillis : 0;
-            }
-        }
-    }
-    return load;
-}
-
 struct ranked_job
 {
     job_rank rank;
--- a/packages/jobs/src/worker_book.cpp
+++ b/packages/jobs/src/worker_book.cpp
@@ -1,3 +1,4 @@
+#include <jujubespool/jobs/gateways.h>
 #include <jujubespool/jobs/worker_book.h>
 
 #include <algorithm>
@@ -110,4 +111,9 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
+worker_address addressOf(const worker &target)
+{
+    return { target.report.id, target.report.born, target.report.address };
+}
+
 } // namespace jujubespool
