Evict no lasting task before the stops of a former owner have shown

Ruled out: the restored tasks (they count as away until a look) and the ledger (it was whole). Evictions now wait stop_ms and 1.5 s after a take-over. Test: upkeep evictsNothingBeforeTheStopsOfAFormerOwnerHaveShown.

--- a/packages/jobs/include/jujubespool/jobs/upkeep_driver.h
+++ b/packages/jobs/include/jujubespool/jobs/upkeep_driver.h
@@ -42,6 +42,8 @@
 
     void setWave(const upkeep_wave &wave, wall_ms wall);
     void restore(std::uint64_t wave, const wire::upkeep_image &image);
+    // A former owner may have stopped tasks that still look at work. None is evicted before these ends have shown.
+    void noteTakenOver(instant now);
     // Waves whose record has changed since the last call.
     std::map<std::uint64_t, wire::upkeep_image> takeChanged();
     void tick(instant now, wall_ms wall);
@@ -77,6 +79,7 @@
     decision_log &m_log;
     std::map<std::uint64_t, wave_progress> m_waves;
     std::set<std::uint64_t> m_changed;
+    instant m_evictNotBefore;
     // Hosts by pool whose lasting tasks had no other place at the last tick.
     std::map<std::string, int> m_stuckHosts;
     lifetime m_lifetime;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -65,6 +65,7 @@
                 { { "entries", std::to_string(entries.size()) },
                   { "live_jobs", std::to_string(m_model.live().size()) },
                   { "workers", std::to_string(m_model.workers().all().size()) } });
+    m_upkeep.noteTakenOver(now);
     m_scheduleNeeded = true;
     settle(now);
 }
--- a/packages/jobs/src/upkeep_driver.cpp
+++ b/packages/jobs/src/upkeep_driver.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds DEADLINE_RESERVE{ 4000 };
 // Lasting tasks move in turns, so that a few hosts serve many.
 constexpr int MOST_HOSTS_LACKING = 4;
+// Time after its end in which a look has surely shown a run that was stopped.
+constexpr milliseconds ENDS_SHOWN{ 1500 };
 
 } // namespace
 
@@ -61,6 +63,11 @@
     progress.knownAt = image.known_ms();
 }
 
+void upkeep_driver::noteTakenOver(instant now)
+{
+    m_evictNotBefore = now + m_model.bounds().stopTime + ENDS_SHOWN;
+}
+
 std::map<std::uint64_t, wire::upkeep_image> upkeep_driver::takeChanged()
 {
     std::map<std::uint64_t, wire::upkeep_image> images;
@@ -188,7 +195,7 @@
     for (const task_key &key : lasting) {
         if (!hasOtherPlace(target, key, now)) {
             placed = false;
-        } else if (mayEvict(key)) {
+        } else if (now >= m_evictNotBefore && mayEvict(key)) {
             m_log.write("run-evicted", { { "task", key.text() }, { "worker", target.report.id } });
             m_runs.stop(key, now);
         }
--- /dev/null
+++ b/packages/manager/test/upkeep_test.cpp
@@ -0,0 +1,121 @@
+#include "fake_platform.h"
+#include <criterion/criterion.h>
+#include <jujubespool/jobs/upkeep_driver.h>
+
+namespace {
+
+using namespace jujubespool;
+
+constexpr resources SIZE{ 8000, 16000, 0 };
+constexpr wall_ms WALL = 1800000000000;
+
+struct silent_listener : run_listener
+{
+    void onProgress(instant) override
+    {
+    }
+    void whenDurable(std::function<void(instant now)> call, instant now) override
+    {
+        call(now);
+    }
+    void onFenced(instant) override
+    {
+    }
+    void onBadTicket(const task_key &, const std::string &) override
+    {
+    }
+    wall_ms wallNow() const override
+    {
+        return WALL;
+    }
+    bool ownsSurely(instant) const override
+    {
+        return true;
+    }
+};
+
+// Two hosts, one of them due with a lasting task on it that may be away.
+class due_host
+{
+public:
+    due_host()
+    {
+        auto config = std::make_shared<fleet_config>();
+        config->queues.push_back({});
+        config->queues[0].name = "q";
+        config->queues[0].pool = "pool";
+        config->pools["pool"] = { "pool", true, false, {} };
+        m_model.setConfig(config);
+        for (const char *id : { "w1", "w2" }) {
+            m_platform.addWorker(id, "pool", SIZE);
+            m_platform.hosts.push_back({ std::string("host-") + id, "pool", host_condition::up, "a", {}, SIZE, id });
+            m_model.workers().report(m_platform.workerNamed(id).report, m_platform.now());
+            m_model.workers().find(id)->looked = true;
+            m_model.workers().find(id)->clockKnown = true;
+        }
+        job_request request;
+        request.id = m_key.job;
+        request.queue = "q";
+        step_spec step;
+        step.count = 1;
+        step.each = { 1000, 1000, 0 };
+        step.longRunning = true;
+        step.mayMiss = 1;
+        request.steps.push_back(step);
+        m_model.add(job::accept(request, WALL)).openDueOccurrences(WALL);
+        m_model.place(m_key, *m_model.workers().find("w1"), m_platform.now());
+        placed_run &run = m_model.workers().find("w1")->runs.at(m_key);
+        run.confirmed = true;
+        run.progressPercent = 100;
+        m_roster.refresh(m_platform.now());
+        m_platform.advance(milliseconds(50));
+        driver.setWave({ 1, { "host-w1" }, seconds(30), 1 }, WALL);
+    }
+
+    // Whether the task has been asked to end within the time.
+    bool evictsWithin(milliseconds time)
+    {
+        for (milliseconds passed(0); passed < time; passed += milliseconds(50)) {
+            m_platform.advance(milliseconds(50));
+            driver.tick(m_platform.now(), WALL);
+            if (m_log.events["run-evicted"] > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+    instant now() const
+    {
+        return m_platform.now();
+    }
+
+private:
+    fake_platform m_platform;
+    counting_log m_log;
+    silent_listener m_listener;
+    fleet_model m_model{ manager_bounds() };
+    const task_key m_key{ "00000000000000a1", 0, 0, 0 };
+    platform_clients m_clients{ m_platform.clientsOf("entry-1") };
+    run_supervisor m_runs{ m_model, m_clients.workers, m_platform, m_log, 1, m_listener };
+    host_roster m_roster{ m_model, m_clients.hosts, m_log, "entry-1", 1 };
+
+public:
+    upkeep_driver driver{ m_model, m_runs, m_roster, m_clients.status, m_log };
+};
+
+} // namespace
+
+Test(upkeep, movesLastingTasksOffADueHost)
+{
+    due_host item;
+    cr_assert(item.evictsWithin(milliseconds(200)));
+}
+
+// The former owner's stops take a moment to show; together with ours they might take more tasks away than may be.
+Test(upkeep, evictsNothingBeforeTheStopsOfAFormerOwnerHaveShown)
+{
+    due_host item;
+    item.driver.noteTakenOver(item.now());
+    cr_assert_not(item.evictsWithin(milliseconds(1800)));
+    cr_assert(item.evictsWithin(milliseconds(400)));
+}
