Give the first look at a worker more time

Cause (incidents of the grown sites): after each take-over the new owner looks at 350 workers at once; opening the connections took longer than 0.4 s, so that 16 to 261 sound workers counted as silent and were avoided when the work had to begin again. Ruled out: cut links (none then), the workers (they answered the next look). Test: looks theFirstLookAtAWorkerMayTakeLonger.

--- a/packages/jobs/include/jujubespool/jobs/gateways.h
+++ b/packages/jobs/include/jujubespool/jobs/gateways.h
@@ -189,6 +189,8 @@
     std::optional<std::int64_t> untilMs;
     // How long the worker may wait for an end before it answers.
     milliseconds wait{ 0 };
+    // How much longer than that the answer may take.
+    milliseconds patience{ 400 };
 };
 
 enum class run_end { done, failed, stopped, lapsed, broken, alone };
--- a/packages/jobs/src/run_looks.cpp
+++ b/packages/jobs/src/run_looks.cpp
@@ -8,6 +8,8 @@
 
 // How long a worker may wait for an end before it answers a look.
 constexpr milliseconds LOOK_WAIT{ 800 };
+// A new owner looks at all workers at once, over connections that are opened for it.
+constexpr milliseconds FIRST_LOOK_PATIENCE{ 1500 };
 // On a worker with more runs than this, ends are collected for a while before the next look.
 constexpr std::size_t RUNS_LOOKED_AT_ONCE = 3;
 constexpr milliseconds ENDS_COLLECTED{ 25 };
@@ -62,6 +64,9 @@
     if (target.looked && target.unansweredInRow == 0 && !unconfirmed) {
         order.wait = LOOK_WAIT;
     }
+    if (!target.looked && target.unansweredInRow == 0) {
+        order.patience = FIRST_LOOK_PATIENCE;
+    }
     target.holdInFlight = true;
     const worker_address where = order.worker;
     m_gateway.look(order,
--- a/packages/manager/test/upkeep_test.cpp
+++ b/packages/manager/test/upkeep_test.cpp
@@ -103,8 +103,50 @@
     upkeep_driver driver{ m_model, m_runs, m_roster, m_clients.status, m_log };
 };
 
+// Keeps the looks that are sent and answers none by itself.
+struct kept_looks : worker_gateway
+{
+    void start(const start_order &, order_callback) override
+    {
+    }
+    void stop(const stop_order &, order_callback) override
+    {
+    }
+    void pace(const pace_order &, order_callback) override
+    {
+    }
+    void look(const look_order &order, std::function<void(const look_result &, instant now)> done) override
+    {
+        sent.push_back(order);
+        answer = std::move(done);
+    }
+
+    std::vector<look_order> sent;
+    std::function<void(const look_result &, instant now)> answer;
+};
+
 } // namespace
 
+// After a take-over hundreds of connections are opened at once; a short timeout would make every worker look silent.
+Test(looks, theFirstLookAtAWorkerMayTakeLonger)
+{
+    fake_platform platform;
+    counting_log log;
+    silent_listener listener;
+    kept_looks gateway;
+    fleet_model model{ manager_bounds() };
+    run_supervisor runs(model, gateway, platform, log, 1, listener);
+    model.workers().report({ "w1", "w1:1", "pool", "a", worker_state::ready, SIZE, {}, 1, {} }, platform.now());
+    runs.tick(platform.now());
+    cr_assert_eq(gateway.sent.size(), 1);
+    cr_assert_geq(gateway.sent[0].patience.count(), 1000);
+    gateway.answer(look_result(), platform.now());
+    platform.advance(seconds(1));
+    runs.tick(platform.now());
+    cr_assert_eq(gateway.sent.size(), 2);
+    cr_assert_lt(gateway.sent[1].patience.count(), 1000);
+}
+
 Test(upkeep, movesLastingTasksOffADueHost)
 {
     due_host item;
