Exchange heartbeats among a few candidates and with the owner only

Cause: every process sent heartbeats to every other process over a connection of its own, 146 connections and 292 messages a second each at 147 processes, besides as many heartbeats of ZeroMQ.

Now the 16 processes on the hosts with the most capacity are the candidates for the ownership and exchange heartbeats. Any other process sends its heartbeats to the owner alone and receives the owner's, at half the rate. Connections open at the first message and close when they are unused for 10 s. A process that is no candidate ranks after all candidates, so that it claims only when all of them have failed to.

The owner still hears from every process, so a confirmation by all peers during an outage of the store means what it meant before. With up to 16 processes nothing changes.

Ruled out: candidates chosen by start time, which would put all of them into the data centre that started last.

--- a/packages/jobs/include/jujubespool/jobs/owner_election.h
+++ b/packages/jobs/include/jujubespool/jobs/owner_election.h
@@ -43,6 +43,10 @@
 constexpr milliseconds PEER_TIMEOUT{ 1500 };
 // A process that has no list of its peers yet leaves the claim to them for this long.
 constexpr milliseconds UNRANKED_CLAIM_DELAY{ 2000 };
+// Number of processes that compete for the ownership. The others claim only after all of these have failed to.
+constexpr int MAX_CANDIDATES = 16;
+// Interval at which a process that is not a candidate reads the ledger; many of them may do so at the same time.
+constexpr milliseconds BACKUP_LEDGER_READ_INTERVAL{ 1000 };
 // Additional delay when the ledger has never had an owner, in which processes that start at the same time find each
 // other.
 constexpr milliseconds FIRST_CLAIM_DELAY{ 500 };
--- a/packages/jobs/src/owner_election.cpp
+++ b/packages/jobs/src/owner_election.cpp
@@ -108,7 +108,8 @@
             return election_action::claim;
         }
     }
-    if (now - m_ledgerReadAt >= LEDGER_READ_INTERVAL) {
+    const bool candidate = m_rank.value_or(0) < MAX_CANDIDATES;
+    if (now - m_ledgerReadAt >= (candidate ? LEDGER_READ_INTERVAL : BACKUP_LEDGER_READ_INTERVAL)) {
         m_ledgerReadAt = now;
         return election_action::read_ledger;
     }
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -91,6 +91,7 @@
     bool m_readingLedger = false;
     std::uint64_t m_knownOwner = 0;
     instant m_lastHeartbeat;
+    instant m_lastHeartbeatToOthers;
     instant m_lastServingAt;
     bool m_stopping = false;
     bool m_handedOver = false;
--- a/packages/manager/include/jujubespool/manager/peer_tracker.h
+++ b/packages/manager/include/jujubespool/manager/peer_tracker.h
@@ -2,11 +2,16 @@
 //
 //     peer_tracker peers(link, incarnation, log);
 //     peers.updateMember(node, image, now);
-//     peers.broadcast(message);
+//     if (peers.isCandidate(incarnation)) { peers.sendToCandidates(message, now); }
+//
+// Only a few processes, the candidates, exchange heartbeats with each other and compete for the ownership. Every other
+// process exchanges heartbeats with the owner alone, so that its cost does not depend on the number of processes. A
+// connection is opened when the first message is sent to a process, and closed when it has not been used for some time.
 #pragma once
 
 #include <jujubespool/jobs/gateways.h>
 #include <jujubespool/wire/peer_transport.h>
+#include <unordered_map>
 
 namespace jujubespool {
 
@@ -24,11 +29,19 @@
     void recordNotOwner(std::uint64_t incarnation, instant now);
     // Whether every other process has recently stated that it does not own the jobs.
     bool allPeersDenyOwnership(instant now) const;
-    // Sends the message to all other processes.
-    void broadcast(wire::peer_message message);
-    bool send(std::uint64_t incarnation, wire::peer_message message);
-    // Position of this process in the order in which live processes claim the ownership, from 0. Empty until this
-    // process is listed among the members.
+    // Whether the process is one of the candidates for the ownership: those on the hosts with the most capacity.
+    bool isCandidate(std::uint64_t incarnation) const;
+    // Sends the message to all other candidates, or to all processes that are not candidates.
+    void sendToCandidates(const wire::peer_message &message, instant now);
+    void sendToOthers(const wire::peer_message &message, instant now);
+    // Returns false if the message cannot be sent now; it is not sent later either.
+    bool send(std::uint64_t incarnation, wire::peer_message message, instant now);
+    // Opens the connections to all processes, so that the next message to any of them is not delayed.
+    void connectAll(instant now);
+    // Closes the connections that have not been used for some time.
+    void closeUnusedConnections(instant now);
+    // Position of this process in the order in which processes claim the ownership, from 0. Candidates come first, and
+    // those from which no messages arrive are not counted. Empty until this process is listed among the members.
     std::optional<int> rank(instant now) const;
     // Whether the host of `process` has much more CPU or network capacity than the host of `other`.
     bool hasMuchMoreCapacity(std::uint64_t process, std::uint64_t other) const;
@@ -43,15 +56,24 @@
         instant lastMessageAt;
         bool messageReceived = false;
         std::optional<instant> notOwnerAt;
+        bool candidate = false;
+        // Time of the last message to the process; empty while there is no connection to it.
+        std::optional<instant> lastUsedAt;
     };
+    member *find(std::uint64_t incarnation);
     const member *find(std::uint64_t incarnation) const;
     bool isAlive(const member &entry, instant now) const;
     static bool isPreferredOwner(const wire::member_image &left, const wire::member_image &right);
+    void chooseCandidates();
+    void sendToAll(bool candidates, wire::peer_message message, instant now);
+    void connect(member &entry, instant now);
 
     peer_transport &m_link;
     std::uint64_t m_self;
     event_log &m_log;
     std::map<std::string, member> m_members;
+    // Name of the node by the incarnation of its process.
+    std::unordered_map<std::uint64_t, std::string> m_nodes;
 };
 
 } // namespace jujubespool
--- a/packages/manager/src/call_router.cpp
+++ b/packages/manager/src/call_router.cpp
@@ -81,7 +81,7 @@
     call.set_path(pending.call.path);
     call.set_authorization(pending.call.authorization);
     call.set_body(pending.call.body);
-    if (m_peers.send(m_owner, std::move(message))) {
+    if (m_peers.send(m_owner, std::move(message), now)) {
         ++pending.sendCount;
         pending.sentAt = now;
     }
@@ -107,14 +107,14 @@
 
 void call_router::onForwardedCall(std::uint64_t from, const wire::forwarded_call &call, instant now)
 {
-    const auto answer = [this, from, id = call.call()](const http_reply &reply) {
+    const auto answer = [this, from, id = call.call(), now](const http_reply &reply) {
         wire::peer_message message;
         wire::forwarded_reply &body = *message.mutable_reply();
         body.set_call(id);
         body.set_status(static_cast<std::uint32_t>(reply.status));
         body.set_body(reply.body);
         body.set_retry_after_s(reply.retryAfterS);
-        m_peers.send(from, std::move(message));
+        m_peers.send(from, std::move(message), now);
     };
     if (m_localHandler) {
         m_localHandler({ call.method(), call.host(), call.path(), call.authorization(), call.body() }, now, answer);
@@ -123,7 +123,7 @@
     wire::peer_message message;
     message.mutable_reply()->set_call(call.call());
     message.mutable_reply()->set_not_owner(true);
-    m_peers.send(from, std::move(message));
+    m_peers.send(from, std::move(message), now);
 }
 
 void call_router::onForwardedReply(const wire::forwarded_reply &reply, instant now)
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -11,6 +11,8 @@
 
 constexpr milliseconds TICK_INTERVAL{ 25 };
 constexpr milliseconds OWNER_HEARTBEAT_INTERVAL{ 100 };
+// The owner sends fewer heartbeats to processes that are not candidates for the ownership.
+constexpr milliseconds OWNER_HEARTBEAT_INTERVAL_TO_OTHERS{ 200 };
 constexpr milliseconds MEMBER_HEARTBEAT_INTERVAL{ 500 };
 constexpr poll_timing MEMBERS_POLL_TIMING{ milliseconds(10000), milliseconds(0) };
 constexpr milliseconds REGISTRATION_RETRY_DELAY{ 300 };
@@ -146,11 +148,23 @@
         body.set_epoch(m_session->epoch());
         body.set_owner_incarnation(m_identity.incarnation);
         body.set_store_silent_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(m_session->storeUnresponsiveFor(now)).count()));
-    } else {
-        body.set_epoch(m_election.epoch());
-        body.set_suspects_owner(!m_stopping && m_election.suspectsOwner(now));
+        m_peers.sendToCandidates(message, now);
+        if (now - m_lastHeartbeatToOthers >= OWNER_HEARTBEAT_INTERVAL_TO_OTHERS) {
+            m_lastHeartbeatToOthers = now;
+            m_peers.sendToOthers(message, now);
+        }
+        return;
     }
-    m_peers.broadcast(message);
+    body.set_epoch(m_election.epoch());
+    body.set_suspects_owner(!m_stopping && m_election.suspectsOwner(now));
+    const bool candidate = m_peers.isCandidate(m_identity.incarnation);
+    if (candidate) {
+        m_peers.sendToCandidates(message, now);
+    }
+    if (m_knownOwner != 0 && (!candidate || !m_peers.isCandidate(m_knownOwner))) {
+        m_peers.send(m_knownOwner, std::move(message), now);
+    }
+    m_peers.closeUnusedConnections(now);
 }
 
 void manager_process::onPeerMessage(const wire::peer_message &message)
@@ -180,7 +194,9 @@
 
 void manager_process::onHeartbeat(std::uint64_t from, const wire::member_beat &heartbeat, instant now)
 {
-    m_election.recordPeer(from, heartbeat.suspects_owner(), now);
+    if (m_peers.isCandidate(from)) {
+        m_election.recordPeer(from, heartbeat.suspects_owner(), now);
+    }
     if (heartbeat.owner_incarnation() == 0) {
         m_peers.recordNotOwner(from, now);
         return;
@@ -207,8 +223,9 @@
     if (!m_election.receivesHeartbeats(now)) {
         m_router.setOwner(0, now);
     }
-    m_election.setRank(m_peers.rank(now));
-    if (m_peers.rank(now) == 0 && m_peers.hasMuchMoreCapacity(m_identity.incarnation, m_knownOwner)) {
+    const std::optional<int> rank = m_peers.rank(now);
+    m_election.setRank(rank);
+    if (rank == 0 && m_peers.hasMuchMoreCapacity(m_identity.incarnation, m_knownOwner)) {
         requestHandover(now);
     }
     switch (m_election.next(now)) {
@@ -238,7 +255,7 @@
             if (page.answered && !m_session && m_election.receivesHeartbeats(then)) {
                 wire::peer_message message;
                 message.mutable_handover_request()->set_epoch(m_election.epoch());
-                m_peers.send(m_knownOwner, std::move(message));
+                m_peers.send(m_knownOwner, std::move(message), then);
                 m_log.write("handover-asked",
                             { { "owner", std::to_string(m_knownOwner) }, { "epoch", std::to_string(m_election.epoch()) } });
             }
@@ -261,7 +278,7 @@
         [this, next](instant then) {
             wire::peer_message message;
             message.mutable_handover()->set_epoch(m_session->epoch());
-            m_peers.send(next, std::move(message));
+            m_peers.send(next, std::move(message), then);
             m_log.write("handed-over", { { "to", std::to_string(next) }, { "epoch", std::to_string(m_session->epoch()) } });
             m_handedOver = true;
             m_resigning = false;
@@ -311,6 +328,7 @@
 
 void manager_process::beginClaim(instant now)
 {
+    m_peers.connectAll(now);
     m_log.write("claim-begun",
                 { { "epoch_known", std::to_string(m_election.epoch()) }, { "rank", std::to_string(m_peers.rank(now).value_or(-1)) } });
     m_session = std::make_unique<owner_session>(m_clients, m_timers, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
@@ -325,6 +343,7 @@
     if (event == session_event::claimed) {
         m_election.recordHeartbeat(m_session->epoch(), milliseconds(0), now);
         m_lastHeartbeat = instant();
+        m_lastHeartbeatToOthers = instant();
         sendHeartbeat(now);
         m_router.setLocalHandler(
             [this](const http_call &call, instant then, const http_reply_callback &reply) { m_session->handle(call, then, reply); }, now);
--- a/packages/manager/src/peer_tracker.cpp
+++ b/packages/manager/src/peer_tracker.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds NOT_OWNER_VALIDITY{ 1200 };
 // Ratio of CPU or network capacity from which a change of owner is worthwhile.
 constexpr double MUCH_MORE_CAPACITY_FACTOR = 1.5;
+// Longer than any interval between heartbeats, so that only connections of a former owner are closed.
+constexpr seconds UNUSED_CONNECTION_TIMEOUT{ 10 };
 
 } // namespace
 
@@ -31,8 +33,9 @@
     removeMember(node);
     m_members[node].image = image;
     m_members[node].addedAt = now;
+    m_nodes[image.incarnation()] = node;
+    chooseCandidates();
     if (image.incarnation() != m_self) {
-        m_link.connect(image.incarnation(), image.endpoint());
         m_log.write("member-known", { { "node", node }, { "endpoint", image.endpoint() } });
     }
 }
@@ -42,26 +45,45 @@
     const auto found = m_members.find(node);
     if (found != m_members.end()) {
         m_link.disconnect(found->second.image.incarnation());
+        m_nodes.erase(found->second.image.incarnation());
         m_members.erase(found);
+        chooseCandidates();
     }
 }
 
-void peer_tracker::recordMessage(std::uint64_t incarnation, instant now)
+// Among hosts of equal capacity the random incarnation decides, so that the candidates are spread over the data centres.
+void peer_tracker::chooseCandidates()
 {
+    std::vector<member *> order;
     for (auto &[node, entry] : m_members) {
-        if (entry.image.incarnation() == incarnation) {
-            entry.lastMessageAt = now;
-            entry.messageReceived = true;
-        }
+        entry.candidate = false;
+        order.push_back(&entry);
+    }
+    const std::size_t count = std::min<std::size_t>(order.size(), MAX_CANDIDATES);
+    const auto last = order.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(order.begin(), last, order.end(), [](const member *left, const member *right) {
+        const auto key = [](const wire::member_image &image) {
+            return std::make_tuple(image.cpu_share_percent(), image.link_mbps(), image.incarnation());
+        };
+        return key(left->image) > key(right->image);
+    });
+    std::for_each(order.begin(), last, [](member *entry) { entry->candidate = true; });
+}
+
+void peer_tracker::recordMessage(std::uint64_t incarnation, instant now)
+{
+    member *entry = find(incarnation);
+    if (entry != nullptr) {
+        entry->lastMessageAt = now;
+        entry->messageReceived = true;
     }
 }
 
 void peer_tracker::recordNotOwner(std::uint64_t incarnation, instant now)
 {
-    for (auto &[node, entry] : m_members) {
-        if (entry.image.incarnation() == incarnation) {
-            entry.notOwnerAt = now;
-        }
+    member *entry = find(incarnation);
+    if (entry != nullptr) {
+        entry->notOwnerAt = now;
     }
 }
 
@@ -73,23 +95,72 @@
     });
 }
 
-void peer_tracker::broadcast(wire::peer_message message)
+bool peer_tracker::isCandidate(std::uint64_t incarnation) const
+{
+    const member *entry = find(incarnation);
+    return entry != nullptr && entry->candidate;
+}
+
+void peer_tracker::sendToCandidates(const wire::peer_message &message, instant now)
+{
+    sendToAll(true, message, now);
+}
+
+void peer_tracker::sendToOthers(const wire::peer_message &message, instant now)
+{
+    sendToAll(false, message, now);
+}
+
+void peer_tracker::sendToAll(bool candidates, wire::peer_message message, instant now)
 {
     message.set_from_session(m_self);
-    for (const auto &[node, entry] : m_members) {
-        if (entry.image.incarnation() != m_self) {
+    for (auto &[node, entry] : m_members) {
+        if (entry.candidate == candidates && entry.image.incarnation() != m_self) {
+            connect(entry, now);
             m_link.send(entry.image.incarnation(), message);
         }
     }
 }
 
-bool peer_tracker::send(std::uint64_t incarnation, wire::peer_message message)
+bool peer_tracker::send(std::uint64_t incarnation, wire::peer_message message, instant now)
 {
+    member *entry = find(incarnation);
+    if (entry == nullptr) {
+        return false;
+    }
+    connect(*entry, now);
     message.set_from_session(m_self);
     message.set_to_session(incarnation);
     return m_link.send(incarnation, message);
 }
 
+void peer_tracker::connect(member &entry, instant now)
+{
+    if (!entry.lastUsedAt) {
+        m_link.connect(entry.image.incarnation(), entry.image.endpoint());
+    }
+    entry.lastUsedAt = std::max(entry.lastUsedAt.value_or(now), now);
+}
+
+void peer_tracker::connectAll(instant now)
+{
+    for (auto &[node, entry] : m_members) {
+        if (entry.image.incarnation() != m_self) {
+            connect(entry, now);
+        }
+    }
+}
+
+void peer_tracker::closeUnusedConnections(instant now)
+{
+    for (auto &[node, entry] : m_members) {
+        if (entry.lastUsedAt && now - *entry.lastUsedAt >= UNUSED_CONNECTION_TIMEOUT) {
+            m_link.disconnect(entry.image.incarnation());
+            entry.lastUsedAt.reset();
+        }
+    }
+}
+
 // Processes with more CPU come first, then those with more network capacity, then those that started last: in a rolling
 // restart they are the last to be stopped again.
 bool peer_tracker::isPreferredOwner(const wire::member_image &left, const wire::member_image &right)
@@ -98,11 +169,16 @@
         > std::make_tuple(right.cpu_share_percent(), right.link_mbps(), right.started_ms(), right.incarnation());
 }
 
+peer_tracker::member *peer_tracker::find(std::uint64_t incarnation)
+{
+    const auto found = m_nodes.find(incarnation);
+    return found == m_nodes.end() ? nullptr : &m_members.at(found->second);
+}
+
 const peer_tracker::member *peer_tracker::find(std::uint64_t incarnation) const
 {
-    const auto found = std::find_if(m_members.begin(), m_members.end(),
-                                    [&](const auto &listed) { return listed.second.image.incarnation() == incarnation; });
-    return found == m_members.end() ? nullptr : &found->second;
+    const auto found = m_nodes.find(incarnation);
+    return found == m_nodes.end() ? nullptr : &m_members.at(found->second);
 }
 
 // A member that has never sent a message may have ended before this process started, so its time counts from when it was added.
@@ -117,10 +193,15 @@
     if (self == nullptr) {
         return std::nullopt;
     }
-    return static_cast<int>(std::count_if(m_members.begin(), m_members.end(), [&](const auto &listed) {
-        const member &other = listed.second;
-        return &other != self && isAlive(other, now) && isPreferredOwner(other.image, self->image);
-    }));
+    // Processes that are not candidates exchange no heartbeats, so each of them is assumed to be alive.
+    const auto claimsEarlier = [&](const member &other) {
+        if (other.candidate != self->candidate) {
+            return other.candidate;
+        }
+        return (!other.candidate || isAlive(other, now)) && isPreferredOwner(other.image, self->image);
+    };
+    return static_cast<int>(std::count_if(m_members.begin(), m_members.end(),
+                                          [&](const auto &listed) { return &listed.second != self && claimsEarlier(listed.second); }));
 }
 
 bool peer_tracker::hasMuchMoreCapacity(std::uint64_t process, std::uint64_t other) const
--- a/packages/manager/test/call_router_test.cpp
+++ b/packages/manager/test/call_router_test.cpp
@@ -3,6 +3,7 @@
 #include <jujubespool/testing/table.h>
 
 #include "fake_platform.h"
+#include "recording_transport.h"
 
 namespace {
 
@@ -12,37 +13,16 @@
 constexpr std::uint64_t FIRST_OWNER = 2;
 constexpr std::uint64_t SECOND_OWNER = 3;
 
-// Records the messages that are sent.
-class recording_transport : public peer_transport
+struct router_fixture
 {
-public:
-    void setReceiver(peer_receiver &) override
-    {
-    }
-    void connect(std::uint64_t, const std::string &) override
-    {
-    }
-    void disconnect(std::uint64_t) override
-    {
-    }
-    bool send(std::uint64_t peer, const wire::peer_message &message) override
+    router_fixture()
     {
-        if (reachable) {
-            sent.emplace_back(peer, message);
+        for (const std::uint64_t incarnation : { SELF, FIRST_OWNER, SECOND_OWNER }) {
+            wire::member_image image;
+            image.set_incarnation(incarnation);
+            peers.updateMember("node-" + std::to_string(incarnation), image, now);
         }
-        return reachable;
     }
-    std::uint64_t sentBytes() const override
-    {
-        return 0;
-    }
-
-    bool reachable = true;
-    std::vector<std::pair<std::uint64_t, wire::peer_message>> sent;
-};
-
-struct router_fixture
-{
     void setOwner(std::uint64_t owner)
     {
         router.setOwner(owner, now);
--- a/packages/manager/test/peer_tracker_test.cpp
+++ b/packages/manager/test/peer_tracker_test.cpp
@@ -1,5 +1,7 @@
 #include "fake_platform.h"
+#include "recording_transport.h"
 #include <criterion/criterion.h>
+#include <jujubespool/jobs/owner_election.h>
 #include <jujubespool/manager/peer_tracker.h>
 
 namespace {
@@ -8,29 +10,6 @@
 
 constexpr instant START{ seconds(100) };
 
-// Discards all messages.
-class null_transport : public peer_transport
-{
-public:
-    void setReceiver(peer_receiver &) override
-    {
-    }
-    void connect(std::uint64_t, const std::string &) override
-    {
-    }
-    void disconnect(std::uint64_t) override
-    {
-    }
-    bool send(std::uint64_t, const wire::peer_message &) override
-    {
-        return true;
-    }
-    std::uint64_t sentBytes() const override
-    {
-        return 0;
-    }
-};
-
 // The peer tracker of process 1, among processes on hosts of different capacity.
 struct tracker_fixture
 {
@@ -43,7 +22,7 @@
         peers.updateMember("node-" + std::to_string(incarnation), image, START);
     }
 
-    null_transport transport;
+    recording_transport transport;
     counting_log log;
     peer_tracker peers{ transport, 1, log };
 };
@@ -93,3 +72,81 @@
     cr_assert_not(fixture.peers.hasMuchMoreCapacity(5, 1));
     cr_assert_not(fixture.peers.hasMuchMoreCapacity(2, 99));
 }
+
+// Strong hosts 101 to 110, and weak hosts 1 to 30 of which host 1 runs this process.
+struct large_fleet : tracker_fixture
+{
+    large_fleet()
+    {
+        for (std::uint64_t weak = 1; weak <= 30; ++weak) {
+            add(weak, 12, 20);
+        }
+        for (std::uint64_t strong = 101; strong <= 110; ++strong) {
+            add(strong, 50, 200);
+        }
+    }
+};
+
+Test(peer_tracker, choosesTheHostsWithTheMostCapacityAsCandidates)
+{
+    large_fleet fleet;
+    for (std::uint64_t strong = 101; strong <= 110; ++strong) {
+        cr_assert(fleet.peers.isCandidate(strong));
+    }
+    int weakCandidates = 0;
+    for (std::uint64_t weak = 1; weak <= 30; ++weak) {
+        weakCandidates += fleet.peers.isCandidate(weak) ? 1 : 0;
+    }
+    cr_assert_eq(weakCandidates, MAX_CANDIDATES - 10);
+}
+
+Test(peer_tracker, replacesACandidateThatIsRemoved)
+{
+    large_fleet fleet;
+    cr_assert_not(fleet.peers.isCandidate(24));
+    fleet.peers.removeMember("node-101");
+    cr_assert(fleet.peers.isCandidate(24));
+}
+
+Test(peer_tracker, sendsToCandidatesOnlyAndOpensNoOtherConnection)
+{
+    large_fleet fleet;
+    cr_assert(fleet.transport.connected.empty());
+    fleet.peers.sendToCandidates({}, START);
+    cr_assert_eq(fleet.transport.sent.size(), static_cast<std::size_t>(MAX_CANDIDATES));
+    cr_assert_eq(fleet.transport.connected.size(), static_cast<std::size_t>(MAX_CANDIDATES));
+}
+
+Test(peer_tracker, sendsToAllProcessesInTwoParts)
+{
+    large_fleet fleet;
+    fleet.peers.sendToCandidates({}, START);
+    fleet.peers.sendToOthers({}, START);
+    std::set<std::uint64_t> receivers;
+    for (const auto &[receiver, message] : fleet.transport.sent) {
+        receivers.insert(receiver);
+    }
+    cr_assert_eq(receivers.size(), 39U);
+    cr_assert_eq(fleet.transport.sent.size(), 39U);
+}
+
+Test(peer_tracker, closesConnectionsThatAreNoLongerUsed)
+{
+    large_fleet fleet;
+    fleet.peers.connectAll(START);
+    cr_assert_eq(fleet.transport.connected.size(), 39U);
+    fleet.peers.send(101, {}, START + seconds(9));
+    fleet.peers.closeUnusedConnections(START + seconds(10));
+    cr_assert_eq(fleet.transport.connected.size(), 1U);
+    cr_assert(fleet.peers.send(102, {}, START + seconds(11)));
+}
+
+// Otherwise all of them would claim at the same time, since no messages of each other arrive.
+Test(peer_tracker, ranksOtherProcessesAfterAllCandidatesAndInOneOrder)
+{
+    large_fleet fleet;
+    const int rank = fleet.peers.rank(START + seconds(5)).value();
+    cr_assert_eq(rank, 39);
+    fleet.peers.recordMessage(101, START + seconds(5));
+    cr_assert_eq(fleet.peers.rank(START + seconds(5)).value(), rank);
+}
