Let strong processes send the owner's orders to workers

order_relay, a worker_gateway of the owner, passes orders in batches to the candidates that are alive and have at least half of the strongest host's processor, by rendezvous hashing of the worker among those of its data centre. relay_executor sends them and returns the results in batches. Only an owner of 400 workers or more does so.

--- a/packages/jobs/include/jujubespool/jobs/gateways.h
+++ b/packages/jobs/include/jujubespool/jobs/gateways.h
@@ -143,6 +143,7 @@
     std::string id;
     std::uint64_t startTimeMs = 0;
     std::string address;
+    std::string dataCenter;
 };
 
 // Returns the address of the worker's current incarnation.
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -114,7 +114,7 @@
 
 worker_address addressOf(const worker &target)
 {
-    return { target.report.id, target.report.startTimeMs, target.report.address };
+    return { target.report.id, target.report.startTimeMs, target.report.address, target.report.dataCenter };
 }
 
 } // namespace jujubespool
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -9,7 +9,9 @@
 #include <jujubespool/jobs/owner_election.h>
 #include <jujubespool/manager/call_router.h>
 #include <jujubespool/manager/event_logger.h>
+#include <jujubespool/manager/order_relay.h>
 #include <jujubespool/manager/owner_session.h>
+#include <jujubespool/manager/relay_executor.h>
 #include <jujubespool/wire/zmq_peer_transport.h>
 
 namespace jujubespool {
@@ -51,6 +53,10 @@
     void registerMember();
     void tick();
     void sendHeartbeat(instant now);
+    void sendOwnerHeartbeat(instant now);
+    void sendMemberHeartbeat(instant now);
+    // Chooses the processes that send orders to workers on behalf of this owner.
+    void updateRelayHelpers(instant now);
     void runElection(instant now);
     // Whether callers can be served here: this process owns the jobs and its store responds, or it receives heartbeats
     // from the owner.
@@ -79,6 +85,8 @@
     zmq_peer_transport m_link;
     peer_tracker m_peers;
     call_router m_router;
+    order_relay m_relay;
+    relay_executor m_relayExecutor;
     owner_election m_election;
     feed_watcher m_memberWatcher;
     http_listener m_callerListener;
--- /dev/null
+++ b/packages/manager/include/jujubespool/manager/order_relay.h
@@ -0,0 +1,91 @@
+// Sends the owner's orders to workers through helpers, so that the owner does not pay for one call per order.
+//
+//     order_relay relay(directWorkers, timers, log, send);
+//     relay.begin(epoch);
+//     relay.setHelpers(helpers);           // without helpers, each order is sent directly
+//     relay.start(order, done);
+//     relay.onResults(results);
+//     relay.tick(now);
+//
+// A helper can be lost or paused with an order in hand. An order without a result is therefore sent once more, directly:
+// starts of the same run, stops and polls are idempotent. An order that a helper carries out late looks to the worker like
+// one that the network delayed: the fencing token, the run number and the lease bound what it can do.
+#pragma once
+
+#include <jujubespool/jobs/lifetime.h>
+#include <jujubespool/jobs/timer_service.h>
+#include <jujubespool/manager/relay_helper.h>
+#include <jujubespool/manager/relay_messages.h>
+#include <map>
+#include <set>
+#include <variant>
+
+namespace jujubespool {
+
+class order_relay : public worker_gateway
+{
+public:
+    using poll_callback = std::function<void(const poll_result &, instant now)>;
+    // Returns false if the message could not be sent.
+    using send_function = std::function<bool(std::uint64_t to, wire::peer_message message, instant now)>;
+    order_relay(worker_gateway &direct, timer_service &timers, event_log &log, send_function send);
+
+    // Begins a term of ownership. The results of orders of earlier terms are ignored.
+    void begin(std::uint64_t epoch);
+    void setHelpers(std::vector<relay_helper> helpers);
+    void start(const start_order &order, order_callback done) override;
+    void stop(const stop_order &order, order_callback done) override;
+    void setSpeedLimit(const speed_limit_order &order, order_callback done) override;
+    void poll(const poll_order &order, poll_callback done) override;
+    void onResults(const wire::relayed_results &results, instant now);
+    // Sends orders directly whose results are overdue. Call at regular intervals.
+    void tick(instant now);
+
+private:
+    struct relayed_start
+    {
+        start_order order;
+        order_callback done;
+    };
+    struct relayed_stop
+    {
+        stop_order order;
+        order_callback done;
+    };
+    struct relayed_poll
+    {
+        poll_order order;
+        poll_callback done;
+    };
+    using pending_order = std::variant<relayed_start, relayed_stop, relayed_poll>;
+    struct pending
+    {
+        std::uint64_t helper = 0;
+        instant deadline;
+        pending_order order;
+    };
+
+    void relay(const worker_address &target, milliseconds resultTime, pending_order order);
+    void flush(instant now);
+    pending take(std::uint64_t number);
+    // `sentBefore`: a helper may have sent the order.
+    void sendDirectly(pending_order order, bool sentBefore);
+    void complete(const wire::relayed_result &message, instant now);
+
+    worker_gateway &m_direct;
+    timer_service &m_timers;
+    event_log &m_log;
+    send_function m_send;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_nextNumber = 1;
+    instant m_tickedAt;
+    std::vector<relay_helper> m_helpers;
+    // Helpers that did not return a result in time get no orders before this time.
+    std::map<std::uint64_t, instant> m_avoidUntil;
+    std::map<std::uint64_t, wire::relayed_orders> m_batches;
+    std::unordered_map<std::uint64_t, pending> m_pending;
+    std::set<std::pair<instant, std::uint64_t>> m_deadlines;
+    lifetime m_lifetime;
+};
+
+} // namespace jujubespool
--- a/packages/manager/include/jujubespool/manager/peer_tracker.h
+++ b/packages/manager/include/jujubespool/manager/peer_tracker.h
@@ -9,7 +9,7 @@
 // connection is opened when the first message is sent to a process, and closed when it has not been used for some time.
 #pragma once
 
-#include <jujubespool/jobs/gateways.h>
+#include <jujubespool/manager/relay_helper.h>
 #include <jujubespool/wire/peer_transport.h>
 #include <unordered_map>
 
@@ -25,8 +25,10 @@
     void removeMember(const std::string &node);
     // Records that a message from the process was received.
     void recordMessage(std::uint64_t incarnation, instant now);
-    // Records that the process stated that it does not own the jobs.
-    void recordNotOwner(std::uint64_t incarnation, instant now);
+    // Records that the process stated that it does not own the jobs, and whether it is about to end.
+    void recordNotOwner(std::uint64_t incarnation, bool stopping, instant now);
+    // The candidates that can send orders on behalf of this process: those that are alive and have enough capacity.
+    std::vector<relay_helper> relayHelpers(instant now) const;
     // Whether every other process has recently stated that it does not own the jobs.
     bool allPeersDenyOwnership(instant now) const;
     // Whether the process is one of the candidates for the ownership: those on the hosts with the most capacity.
@@ -57,6 +59,8 @@
         bool messageReceived = false;
         std::optional<instant> notOwnerAt;
         bool candidate = false;
+        // The process is about to end.
+        bool stopping = false;
         // Time of the last message to the process; empty while there is no connection to it.
         std::optional<instant> lastUsedAt;
     };
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds NOT_SERVING_BEFORE_UNREADY{ 700 };
 // A process on a host with much more capacity requests a handover after it has received the owner's heartbeats for this long.
 constexpr milliseconds HANDOVER_REQUEST_DELAY{ 1500 };
+// An owner of fewer workers than this sends all orders itself, which takes one message less for each.
+constexpr std::size_t MIN_WORKERS_FOR_RELAY = 400;
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
 
@@ -41,6 +43,10 @@
     , m_link(loop.base())
     , m_peers(m_link, m_identity.incarnation, log)
     , m_router(m_peers, log)
+    , m_relay(clients.workers, m_timers, log,
+              [this](std::uint64_t to, wire::peer_message message, instant now) { return m_peers.send(to, std::move(message), now); })
+    , m_relayExecutor(clients.workers, m_timers, log,
+                      [this](std::uint64_t to, wire::peer_message message, instant now) { m_peers.send(to, std::move(message), now); })
     , m_memberWatcher(clients.feeds, m_timers, feed::members, MEMBERS_POLL_TIMING, log)
     , m_callerListener(loop.base())
     , m_readinessListener(loop.base())
@@ -110,6 +116,7 @@
     image.set_started_ms(m_loop.wallNow());
     image.set_cpu_share_percent(m_settings.cpuSharePercent);
     image.set_link_mbps(m_settings.linkMbps);
+    image.set_data_center(m_settings.dataCenter);
     const ledger_entry entry{ m_settings.node, image.SerializeAsString() };
     m_clients.feeds.put(feed::members, entry, m_lifetime.guard([this](const ledger_append_result &outcome, instant) {
         if (outcome.status != append_status::done) {
@@ -121,9 +128,11 @@
 void manager_process::tick()
 {
     const instant now = m_loop.now();
+    m_relayExecutor.tick(now);
     if (m_session) {
         m_session->tick(now);
     }
+    m_relay.tick(now);
     sendHeartbeat(now);
     m_lastServingAt = canServe(now) ? now : m_lastServingAt;
     if (!m_stopping) {
@@ -142,21 +151,35 @@
         return;
     }
     m_lastHeartbeat = now;
+    if (owns() && !m_stopping) {
+        sendOwnerHeartbeat(now);
+    } else {
+        sendMemberHeartbeat(now);
+    }
+}
+
+void manager_process::sendOwnerHeartbeat(instant now)
+{
     wire::peer_message message;
     wire::member_beat &body = *message.mutable_member();
-    if (owns() && !m_stopping) {
-        body.set_epoch(m_session->epoch());
-        body.set_owner_incarnation(m_identity.incarnation);
-        body.set_store_silent_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(m_session->storeUnresponsiveFor(now)).count()));
-        m_peers.sendToCandidates(message, now);
-        if (now - m_lastHeartbeatToOthers >= OWNER_HEARTBEAT_INTERVAL_TO_OTHERS) {
-            m_lastHeartbeatToOthers = now;
-            m_peers.sendToOthers(message, now);
-        }
-        return;
+    body.set_epoch(m_session->epoch());
+    body.set_owner_incarnation(m_identity.incarnation);
+    body.set_store_silent_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(m_session->storeUnresponsiveFor(now)).count()));
+    m_peers.sendToCandidates(message, now);
+    if (now - m_lastHeartbeatToOthers >= OWNER_HEARTBEAT_INTERVAL_TO_OTHERS) {
+        m_lastHeartbeatToOthers = now;
+        m_peers.sendToOthers(message, now);
     }
+    updateRelayHelpers(now);
+}
+
+void manager_process::sendMemberHeartbeat(instant now)
+{
+    wire::peer_message message;
+    wire::member_beat &body = *message.mutable_member();
     body.set_epoch(m_election.epoch());
     body.set_suspects_owner(!m_stopping && m_election.suspectsOwner(now));
+    body.set_stopping(m_stopping);
     const bool candidate = m_peers.isCandidate(m_identity.incarnation);
     if (candidate) {
         m_peers.sendToCandidates(message, now);
@@ -167,6 +190,12 @@
     m_peers.closeUnusedConnections(now);
 }
 
+void manager_process::updateRelayHelpers(instant now)
+{
+    const bool large = m_session->manager()->model().workers().all().size() >= MIN_WORKERS_FOR_RELAY;
+    m_relay.setHelpers(large ? m_peers.relayHelpers(now) : std::vector<relay_helper>());
+}
+
 void manager_process::onPeerMessage(const wire::peer_message &message)
 {
     const instant now = m_loop.now();
@@ -187,6 +216,12 @@
     case wire::peer_message::kReply:
         m_router.onForwardedReply(message.reply(), now);
         break;
+    case wire::peer_message::kOrders:
+        m_relayExecutor.onOrders(message.from_session(), message.orders(), now);
+        break;
+    case wire::peer_message::kResults:
+        m_relay.onResults(message.results(), now);
+        break;
     default:
         break;
     }
@@ -197,8 +232,9 @@
     if (m_peers.isCandidate(from)) {
         m_election.recordPeer(from, heartbeat.suspects_owner(), now);
     }
+    m_relayExecutor.recordEpoch(heartbeat.epoch());
     if (heartbeat.owner_incarnation() == 0) {
-        m_peers.recordNotOwner(from, now);
+        m_peers.recordNotOwner(from, heartbeat.stopping(), now);
         return;
     }
     if (owns() && heartbeat.epoch() > m_session->epoch()) {
@@ -331,7 +367,9 @@
     m_peers.connectAll(now);
     m_log.write("claim-begun",
                 { { "epoch_known", std::to_string(m_election.epoch()) }, { "rank", std::to_string(m_peers.rank(now).value_or(-1)) } });
-    m_session = std::make_unique<owner_session>(m_clients, m_timers, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
+    const platform_clients clients{ m_clients.ledger, m_clients.feeds,      m_relay,        m_clients.hosts,
+                                    m_clients.policy, m_clients.waveStatus, m_clients.codec };
+    m_session = std::make_unique<owner_session>(clients, m_timers, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
     m_session->setPeerConfirmation([this](instant then) { return m_peers.allPeersDenyOwnership(then); });
     m_session->begin([this](session_event event, instant then) { onSessionEvent(event, then); });
 }
@@ -341,6 +379,8 @@
     m_log.write("ownership", { { "event", std::string(nameOf(event)) }, { "epoch", std::to_string(m_session->epoch()) } });
     m_log.count("ownership_total", nameOf(event));
     if (event == session_event::claimed) {
+        m_relay.begin(m_session->epoch());
+        m_relayExecutor.recordEpoch(m_session->epoch());
         m_election.recordHeartbeat(m_session->epoch(), milliseconds(0), now);
         m_lastHeartbeat = instant();
         m_lastHeartbeatToOthers = instant();
@@ -356,6 +396,7 @@
 void manager_process::discardSession(instant)
 {
     m_router.clearLocalHandler();
+    m_relay.setHelpers({});
     m_resigning = false;
     m_handedOver = m_handedOver || m_stopping;
     m_session->deactivate();
@@ -373,6 +414,7 @@
     m_stopping = true;
     m_stopStartedAt = now;
     if (!owns()) {
+        sendMemberHeartbeat(now);
         m_handedOver = true;
         if (m_session) {
             discardSession(now);
--- a/packages/manager/src/peer_tracker.cpp
+++ b/packages/manager/src/peer_tracker.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds NOT_OWNER_VALIDITY{ 1200 };
 // Ratio of CPU or network capacity from which a change of owner is worthwhile.
 constexpr double MUCH_MORE_CAPACITY_FACTOR = 1.5;
+// A host with less CPU than this share of the strongest host's serves callers only.
+constexpr double MIN_HELPER_CPU_RATIO = 0.5;
 // Longer than any interval between heartbeats, so that only connections of a former owner are closed.
 constexpr seconds UNUSED_CONNECTION_TIMEOUT{ 10 };
 
@@ -79,14 +81,32 @@
     }
 }
 
-void peer_tracker::recordNotOwner(std::uint64_t incarnation, instant now)
+void peer_tracker::recordNotOwner(std::uint64_t incarnation, bool stopping, instant now)
 {
     member *entry = find(incarnation);
     if (entry != nullptr) {
         entry->notOwnerAt = now;
+        entry->stopping = stopping;
     }
 }
 
+std::vector<relay_helper> peer_tracker::relayHelpers(instant now) const
+{
+    std::uint32_t mostCpu = 0;
+    for (const auto &[node, entry] : m_members) {
+        mostCpu = std::max(mostCpu, entry.image.cpu_share_percent());
+    }
+    std::vector<relay_helper> helpers;
+    for (const auto &[node, entry] : m_members) {
+        const bool alive = entry.messageReceived && isAlive(entry, now) && !entry.stopping;
+        const bool hasCapacity = entry.image.cpu_share_percent() >= MIN_HELPER_CPU_RATIO * mostCpu;
+        if (entry.candidate && alive && hasCapacity && entry.image.incarnation() != m_self) {
+            helpers.push_back({ entry.image.incarnation(), entry.image.data_center() });
+        }
+    }
+    return helpers;
+}
+
 bool peer_tracker::allPeersDenyOwnership(instant now) const
 {
     return std::all_of(m_members.begin(), m_members.end(), [&](const auto &listed) {
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
 # Runs the measurements that docs/MEASURES.md describes. Prints key=value lines; each baseline is measured in the same run.
 #   --seed N     seed of all random number generators (default 1)
-#   --only LIST  comma-separated list of: path, permits, once, share, retry, waves, placement, replay, detectors, capacity
+#   --only LIST  comma-separated list of: path, permits, once, share, retry, waves, placement, replay, detectors, capacity, scale
 #   --quick      shorter runs, less than a minute in total
 set -uo pipefail
 cd "$(dirname "$0")/.."
 seed=1
-only=path,permits,once,share,retry,waves,replay,detectors,capacity
+only=path,permits,once,share,retry,waves,replay,detectors,capacity,scale
 quick=
 while [ $# -gt 0 ]; do
     case "$1" in
--- a/tools/measure/main.cpp
+++ b/tools/measure/main.cpp
@@ -63,7 +63,7 @@
 
 Options:
   --seed=N     Seed of all random number generators [default: 1].
-  --only=LIST  Comma-separated list of measurements: permits, once, share, retry, waves, placement, replay, detectors, capacity.
+  --only=LIST  Comma-separated list of measurements: permits, once, share, retry, waves, placement, replay, detectors, capacity, scale.
   --quick      Runs shorter simulations with fewer seeds.
 )";
 
@@ -74,11 +74,12 @@
     using namespace measure;
     auto arguments = docopt::docopt(USAGE, { argv + 1, argv + argc });
     const options selectedOptions{ static_cast<std::uint64_t>(arguments["--seed"].asLong()), arguments["--quick"].asBool() };
-    const std::map<std::string, void (*)(const options &)> measurements{
-        { "permits", measurePermits }, { "once", measureAtMostOnce }, { "share", measureShare },         { "retry", measureRetry },
-        { "waves", measureWaves },     { "replay", measureReplay },   { "detectors", measureDetectors }, { "capacity", measureCapacity }
-    };
-    std::string selectedNames = "permits,once,share,retry,waves,replay,detectors,capacity";
+    const std::map<std::string, void (*)(const options &)> measurements{ { "permits", measurePermits },     { "once", measureAtMostOnce },
+                                                                         { "share", measureShare },         { "retry", measureRetry },
+                                                                         { "waves", measureWaves },         { "replay", measureReplay },
+                                                                         { "detectors", measureDetectors }, { "capacity", measureCapacity },
+                                                                         { "scale", measureScale } };
+    std::string selectedNames = "permits,once,share,retry,waves,replay,detectors,capacity,scale";
     if (arguments["--only"]) {
         selectedNames = arguments["--only"].asString();
     }
--- a/tools/measure/measurements.h
+++ b/tools/measure/measurements.h
@@ -26,6 +26,7 @@
 void measureReplay(const options &options);
 void measureDetectors(const options &options);
 void measureCapacity(const options &options);
+void measureScale(const options &options);
 
 struct fleet_size
 {
