Compute what a job needs once after each change

The demand of a job is kept until the job changes; jobs without waiting tasks are not ranked, and a step whose tasks are known not to fit ends before its keys are built.

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -75,8 +75,8 @@
     {
         return m_jobs;
     }
-    // Identifiers of the jobs that have not ended.
-    const std::set<std::string> &activeJobs() const
+    // The jobs that have not ended, by their identifiers.
+    const std::map<std::string, job *> &activeJobs() const
     {
         return m_activeJobs;
     }
@@ -93,7 +93,7 @@
         return m_usage;
     }
 
-    // Marks the job as changed since the last ledger write.
+    // Marks the job as changed since the last ledger write; its demand is computed again.
     void markChanged(const std::string &id);
     // Returns the jobs changed since the last call.
     std::set<std::string> takeChanged();
@@ -125,7 +125,7 @@
     // Queues of former configurations, for jobs that still refer to them.
     std::map<std::string, queue_config> m_knownQueues;
     std::map<std::string, job> m_jobs;
-    std::set<std::string> m_activeJobs;
+    std::map<std::string, job *> m_activeJobs;
     std::set<std::string> m_changed;
     std::vector<std::string> m_ended;
     worker_registry m_workers;
--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -137,6 +137,23 @@
     std::vector<int> unfinishedTasks;
 };
 
+// What the tasks of a job that are not done yet need. Scheduling reads it for each job in each pass.
+struct job_demand
+{
+    // CPU of the assigned tasks and of the waiting tasks whose step is ready, in thousandths of a core. Best-effort tasks do
+    // not count, because they use only CPU that other tasks leave unused.
+    std::int64_t usedMillis = 0;
+    std::int64_t waitingMillis = 0;
+    // At least one task of a ready step waits, which may be a best-effort task.
+    bool hasWaitingTasks = false;
+    // Estimated work of the tasks that are not done, in core seconds.
+    double coreSecondsLeft = 0;
+    // Estimated time of the longest dependency chain of tasks that are not done.
+    milliseconds remainingPath{ 0 };
+
+    bool operator==(const job_demand &other) const = default;
+};
+
 class job
 {
 public:
@@ -212,10 +229,18 @@
     }
     // Estimated time of the longest dependency chain of the whole job.
     milliseconds criticalPathLength() const;
+    // The demand is computed once after each change.
+    const job_demand &demand() const;
+    // Must be called after each change of the job's progress.
+    void markDemandChanged()
+    {
+        m_demand.reset();
+    }
 
 private:
     template <typename Predicate> bool anyTask(Predicate predicate) const;
     occurrence_progress &addOccurrence(int number);
+    job_demand computeDemand() const;
 
     job_request m_request;
     job_state m_state = job_state::queued;
@@ -223,6 +248,7 @@
     wall_ms m_endedAt = 0;
     std::map<int, occurrence_progress> m_occurrences;
     std::vector<milliseconds> m_criticalPaths;
+    mutable std::optional<job_demand> m_demand;
 };
 
 // For each step, the estimated time of the longest dependency chain from it to the end of the job, including the step itself.
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -50,10 +50,11 @@
 job &fleet_model::add(job entry)
 {
     const std::string id = entry.request().id;
-    if (!entry.ended()) {
-        m_activeJobs.insert(id);
+    job &added = m_jobs.insert_or_assign(id, std::move(entry)).first->second;
+    if (!added.ended()) {
+        m_activeJobs[id] = &added;
     }
-    return m_jobs.insert_or_assign(id, std::move(entry)).first->second;
+    return added;
 }
 
 void fleet_model::remove(const std::string &id)
@@ -66,6 +67,10 @@
 void fleet_model::markChanged(const std::string &id)
 {
     m_changed.insert(id);
+    job *changed = find(id);
+    if (changed != nullptr) {
+        changed->markDemandChanged();
+    }
 }
 
 std::set<std::string> fleet_model::takeChanged()
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -335,6 +335,41 @@
     return longest;
 }
 
+const job_demand &job::demand() const
+{
+    if (!m_demand) {
+        m_demand = computeDemand();
+    }
+    return *m_demand;
+}
+
+job_demand job::computeDemand() const
+{
+    job_demand demand;
+    for (const auto &[number, occurrence] : m_occurrences) {
+        for (std::size_t i = 0; !occurrence.ended && i < occurrence.steps.size(); ++i) {
+            const int unfinished = occurrence.unfinishedTasks[i];
+            if (unfinished == 0) {
+                continue;
+            }
+            const step_spec &spec = m_request.steps[i];
+            const std::int64_t cpuMillis = spec.taskResources.cpuMillis;
+            demand.coreSecondsLeft += unfinished * static_cast<double>(cpuMillis) * static_cast<double>(spec.estimated.count()) / 1e6;
+            demand.remainingPath = std::max(demand.remainingPath, m_criticalPaths[i]);
+            const bool ready = stepReady(occurrence, static_cast<int>(i));
+            for (const task_progress &task : occurrence.steps[i]) {
+                const bool waiting = ready && task.phase == task_phase::waiting;
+                demand.hasWaitingTasks = demand.hasWaitingTasks || waiting;
+                if (!spec.bestEffort) {
+                    demand.usedMillis += task.phase == task_phase::assigned ? cpuMillis : 0;
+                    demand.waitingMillis += waiting ? cpuMillis : 0;
+                }
+            }
+        }
+    }
+    return demand;
+}
+
 milliseconds job::criticalPathLength() const
 {
     return m_criticalPaths.empty() ? milliseconds(0) : *std::max_element(m_criticalPaths.begin(), m_criticalPaths.end());
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -194,8 +194,8 @@
 
 int job_manager::pendingJobCount(const std::string &queue) const
 {
-    return static_cast<int>(std::count_if(m_model.activeJobs().begin(), m_model.activeJobs().end(), [&](const std::string &id) {
-        const job &candidate = m_model.jobs().at(id);
+    return static_cast<int>(std::count_if(m_model.activeJobs().begin(), m_model.activeJobs().end(), [&](const auto &entry) {
+        const job &candidate = *entry.second;
         return candidate.request().queue == queue && !candidate.hasStarted();
     }));
 }
@@ -224,8 +224,7 @@
     if (m_ownershipLost) {
         return;
     }
-    for (const std::string &id : m_model.activeJobs()) {
-        job *active = m_model.find(id);
+    for (const auto &[id, active] : m_model.activeJobs()) {
         if (active->isRecurring() && active->addDueOccurrences(wall)) {
             m_model.markChanged(id);
             m_scheduleNeeded = true;
--- a/packages/jobs/src/pool_rebalancer.cpp
+++ b/packages/jobs/src/pool_rebalancer.cpp
@@ -1,7 +1,6 @@
 #include <jujubespool/jobs/pool_rebalancer.h>
 
 #include <algorithm>
-#include <jujubespool/jobs/job_load.h>
 
 namespace jujubespool {
 
@@ -50,13 +49,13 @@
     std::map<std::string, pool_demand> demand;
     std::map<std::string, std::int64_t> waitingByTeam;
     std::map<std::string, std::int64_t> offeredByTeam;
-    for (const std::string &id : model.activeJobs()) {
-        const job &activeJob = model.jobs().at(id);
+    for (const auto &[id, entry] : model.activeJobs()) {
+        const job &activeJob = *entry;
         const queue_config *queue = model.queueOf(activeJob);
         if (queue == nullptr) {
             continue;
         }
-        std::int64_t waitingCpuMillis = loadOf(activeJob).waitingMillis;
+        std::int64_t waitingCpuMillis = activeJob.demand().waitingMillis;
         std::int64_t offeredCpuMillis = offeredCpuMillisOf(activeJob, wall);
         const auto team = model.config().teams.find(activeJob.request().team);
         if (team != model.config().teams.end() && team->second.limit.cpuMillis > 0) {
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <jujubespool/jobs/job_load.h>
 #include <jujubespool/jobs/placement.h>
 #include <jujubespool/jobs/team_shares.h>
 #include <tuple>
+#include <unordered_map>
 
 namespace jujubespool {
 
@@ -15,7 +15,6 @@
 constexpr std::size_t MAX_WORKERS_PER_REQUEST = 30;
 // Maximum number of requests to the policy service that may be pending at the same time.
 constexpr std::size_t MAX_PENDING_REQUESTS = 8;
-constexpr std::int64_t MILLIS_PER_CORE = 1000;
 
 std::string stepText(const task_key &key)
 {
@@ -36,7 +35,9 @@
             if (acceptsNewTasks(target, now)) {
                 pool_workers &pool = m_pools[target.report.pool];
                 pool.workers.push_back(&target);
-                pool.dataCenters.insert(target.report.dataCenter);
+                if (pool.dataCenters.count(target.report.dataCenter) == 0) {
+                    pool.dataCenters.insert(target.report.dataCenter);
+                }
             }
         }
     }
@@ -83,6 +84,9 @@
     void scheduleStep(job &current, const queue_config &queue, const task_key &first)
     {
         const step_spec &step = current.step(first.step);
+        if (!step.gang && !queue.policy && m_pools[queue.pool].isKnownNotToFit(step)) {
+            return;
+        }
         std::vector<task_key> waiting;
         for (task_key key = first; key.index < step.count; ++key.index) {
             if (current.task(key)->phase == task_phase::waiting) {
@@ -230,7 +234,7 @@
     const policy_ticket_cache &m_tickets;
     instant m_now;
     schedule_result &m_result;
-    std::map<std::string, pool_workers> m_pools;
+    std::unordered_map<std::string, pool_workers> m_pools;
 };
 
 } // namespace
@@ -244,25 +248,15 @@
 job_rank rankOf(const job &current, const queue_config &queue, wall_ms wall)
 {
     job_rank rank{ queue.priority, false, false, 0, current.request().id };
-    const std::vector<step_spec> &steps = current.request().steps;
     if (current.isLongRunning()) {
         return rank;
     }
-    milliseconds remainingPath{ 0 };
+    const job_demand &demand = current.demand();
+    rank.coreSecondsLeft = demand.coreSecondsLeft;
     const milliseconds total = current.criticalPathLength();
-    for (const auto &[number, occurrence] : current.occurrences()) {
-        for (std::size_t step = 0; !occurrence.ended && step < steps.size(); ++step) {
-            const int unfinished = occurrence.unfinishedTasks[step];
-            const double cores = static_cast<double>(steps[step].taskResources.cpuMillis) / MILLIS_PER_CORE;
-            rank.coreSecondsLeft += unfinished * cores * static_cast<double>(steps[step].estimated.count()) / 1e3;
-            if (unfinished > 0) {
-                remainingPath = std::max(remainingPath, current.criticalPathFrom(step));
-            }
-        }
-    }
     const double objectiveMs = queue.deadlineFactor * static_cast<double>(total.count()) + static_cast<double>(queue.targetLatency.count());
     const double ageMs = static_cast<double>(wall) - static_cast<double>(current.acceptedAt());
-    rank.late = !current.isRecurring() && ageMs + static_cast<double>(remainingPath.count()) > objectiveMs;
+    rank.late = !current.isRecurring() && ageMs + static_cast<double>(demand.remainingPath.count()) > objectiveMs;
     return rank;
 }
 
@@ -273,24 +267,26 @@
     job_rank rank;
     job *current = nullptr;
     const queue_config *queue = nullptr;
-    job_load load;
 };
 
 // Tracks the CPU that is allocated to each team in each pool and finds the jobs whose team already has its fair share.
 class share_tracker
 {
 public:
-    share_tracker(const fleet_model &model, const std::vector<ranked_job> &jobs)
+    explicit share_tracker(const fleet_model &model)
     {
-        std::map<std::string, std::int64_t> capacity;
+        std::unordered_map<std::string, std::int64_t> capacity;
         for (const auto &[id, target] : model.workers().all()) {
             capacity[target.report.pool] += target.listed ? target.report.capacity.cpuMillis : 0;
         }
-        std::map<std::string, std::map<std::string, std::int64_t>> demand;
-        for (const ranked_job &ranked : jobs) {
-            const std::string &team = ranked.current->request().team;
-            demand[ranked.queue->pool][team] += ranked.load.usedMillis + ranked.load.waitingMillis;
-            m_allocatedMillis[ranked.queue->pool][team] += ranked.load.usedMillis;
+        std::unordered_map<std::string, std::unordered_map<std::string, std::int64_t>> demand;
+        for (const auto &[id, entry] : model.activeJobs()) {
+            const queue_config *queue = model.queueOf(*entry);
+            if (queue != nullptr) {
+                const job_demand &jobDemand = entry->demand();
+                demand[queue->pool][entry->request().team] += jobDemand.usedMillis + jobDemand.waitingMillis;
+                m_allocatedMillis[queue->pool][entry->request().team] += jobDemand.usedMillis;
+            }
         }
         for (const auto &[pool, teams] : demand) {
             std::vector<team_demand> demands;
@@ -309,16 +305,17 @@
     {
         const std::string &team = ranked.current->request().team;
         std::int64_t &allocatedMillis = m_allocatedMillis[ranked.queue->pool][team];
-        const bool exceeds = ranked.load.waitingMillis > 0 && static_cast<double>(allocatedMillis) >= m_shares[ranked.queue->pool][team];
-        allocatedMillis += ranked.load.waitingMillis;
+        const std::int64_t waitingMillis = ranked.current->demand().waitingMillis;
+        const bool exceeds = waitingMillis > 0 && static_cast<double>(allocatedMillis) >= m_shares[ranked.queue->pool][team];
+        allocatedMillis += waitingMillis;
         return exceeds;
     }
 
 private:
     static constexpr double MIN_WEIGHT = 0.001;
 
-    std::map<std::string, std::map<std::string, double>> m_shares;
-    std::map<std::string, std::map<std::string, std::int64_t>> m_allocatedMillis;
+    std::unordered_map<std::string, std::map<std::string, double>> m_shares;
+    std::unordered_map<std::string, std::unordered_map<std::string, std::int64_t>> m_allocatedMillis;
 };
 
 } // namespace
@@ -327,18 +324,20 @@
 {
     schedule_result result;
     std::vector<ranked_job> order;
-    for (const std::string &id : model.activeJobs()) {
-        job *current = model.find(id);
-        const queue_config *queue = model.queueOf(*current);
+    for (const auto &[id, current] : model.activeJobs()) {
+        const queue_config *queue = current->demand().hasWaitingTasks ? model.queueOf(*current) : nullptr;
         if (queue != nullptr) {
-            order.push_back({ rankOf(*current, *queue, wall), current, queue, loadOf(*current) });
+            order.push_back({ rankOf(*current, *queue, wall), current, queue });
         }
     }
+    if (order.empty()) {
+        return result;
+    }
     const auto byRank = [](const ranked_job &left, const ranked_job &right) {
         return left.rank < right.rank;
     };
     std::sort(order.begin(), order.end(), byRank);
-    share_tracker shares(model, order);
+    share_tracker shares(model);
     for (ranked_job &ranked : order) {
         ranked.rank.exceedsShare = shares.exceedsShare(ranked);
     }
