Leave the ownership to a process that claimed it in the meantime

A session reads the owner when it begins, and gives up when the ledger shows a later one before its own claim. Ruled out: giving up at a heartbeat of the other owner, as the own claim may be on its way then.

--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -77,7 +77,9 @@
     void readLedgerTail();
     void applyLedger(const feed_page &page);
     std::uint64_t claimSequence() const;
-    void claim();
+    void recordOwnerAtBegin(const feed_page &page);
+    // Fails if another process has claimed the ownership since this session began.
+    void claim(instant now);
     void onClaim(const ledger_append_result &outcome, instant now);
     void activate(instant now);
     void failClaim(const std::string &cause, instant now);
@@ -100,6 +102,8 @@
     std::map<std::string, std::string> m_ledger;
     std::uint64_t m_ledgerEnd = 0;
     bool m_ledgerStarted = false;
+    // Epoch of the ownership in the ledger when this session began; empty until it has been read.
+    std::optional<std::uint64_t> m_epochAtBegin;
     std::uint64_t m_epoch = 0;
     int m_claimAttempts = 0;
     bool m_active = false;
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -46,12 +46,28 @@
 void owner_session::begin(event_callback onEvent)
 {
     m_onEvent = std::move(onEvent);
+    m_clients.feeds.readLatest(feed::ledger, ledgerKey(ledger_kind::owner, ""),
+                               m_lifetime.guard([this](const feed_page &page, instant) { recordOwnerAtBegin(page); }));
     m_operators.start([this](const ledger_entry &entry, instant now) { applyOperatorEntry(entry, now); },
                       [this](instant now) { onFeedCaughtUp(now); });
     m_workers.start([this](const ledger_entry &entry, instant now) { applyWorkerEntry(entry, now); },
                     [this](instant now) { onFeedCaughtUp(now); });
 }
 
+void owner_session::recordOwnerAtBegin(const feed_page &page)
+{
+    if (!page.answered) {
+        return;
+    }
+    wire::owner_image owner;
+    for (const ledger_entry &entry : page.entries) {
+        if (entry.key == ledgerKey(ledger_kind::owner, OWNER_NAME) && entry.value && !owner.ParseFromString(*entry.value)) {
+            m_log.write("ledger-entry-unreadable", { { "key", entry.key } });
+        }
+    }
+    m_epochAtBegin = owner.epoch();
+}
+
 void owner_session::applyOperatorEntry(const ledger_entry &entry, instant now)
 {
     const operator_entry parsed = m_clients.codec.parseOperatorEntry(entry);
@@ -136,7 +152,7 @@
         if (page.nextOffset < page.endOffset) {
             readLedgerTail();
         } else {
-            claim();
+            claim(now);
         }
     }));
 }
@@ -158,13 +174,18 @@
     return m_identity.incarnation % CLAIM_SEQUENCE_COUNT;
 }
 
-void owner_session::claim()
+void owner_session::claim(instant now)
 {
     wire::owner_image previousOwner;
     const auto found = m_ledger.find(ledgerKey(ledger_kind::owner, OWNER_NAME));
     if (found != m_ledger.end() && !previousOwner.ParseFromString(found->second)) {
         m_log.write("ledger-entry-unreadable", { { "key", found->first } });
     }
+    if (m_epochAtBegin && previousOwner.epoch() > *m_epochAtBegin) {
+        // A second change of owner would gain nothing: the other owner would have to poll all workers for nothing.
+        failClaim("another process has claimed the ownership", now);
+        return;
+    }
     m_epoch = previousOwner.epoch() + 1;
     ++m_claimAttempts;
     const ledger_append call{ m_epoch, claimSequence(), m_ledgerEnd, { ownerEntry(false) }, CLAIM_TIMEOUT };
@@ -177,7 +198,7 @@
         activate(now);
     } else if (outcome.status == append_status::unknown && m_claimAttempts < MAX_CLAIM_ATTEMPTS) {
         // A repeat with the same sequence number returns the result of the first append.
-        claim();
+        claim(now);
     } else {
         failClaim("claim " + std::string(nameOf(outcome.status)), now);
     }
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -145,6 +145,26 @@
     cr_assert_eq(owners, 1);
 }
 
+// After all processes were restarted, several begin to claim within milliseconds of each other. Each further change of owner would
+// poll all workers again and send the callers to yet another process.
+Test(ownership, processThatBeganBeforeAnotherOneClaimedLeavesTheOwnershipToIt)
+{
+    for (milliseconds lead(0); lead <= milliseconds(20); lead += milliseconds(1)) {
+        fleet_fixture fleet;
+        fleet.begin("entry-1", 11);
+        fleet.platform.advance(lead);
+        fleet.begin("entry-2", 22);
+        // The first read of the second process reaches the store after 2 ms and shows it an earlier claim.
+        fleet.platform.advance(milliseconds(2));
+        const bool alreadyClaimed = fleet.platform.linksOf("entry-1").appends > 0;
+        fleet.platform.advance(seconds(1));
+        const bool firstOwns = fleet.sessions.at("entry-1")->active();
+        const bool secondOwns = fleet.sessions.at("entry-2")->active();
+        cr_assert_eq(firstOwns, !alreadyClaimed, "lead %ld ms", static_cast<long>(lead.count()));
+        cr_assert_eq(secondOwns, alreadyClaimed, "lead %ld ms", static_cast<long>(lead.count()));
+    }
+}
+
 // A former owner that is partitioned from the store may still reach a worker that its successor cannot reach. The successor
 // must not start that worker's tasks elsewhere while they still run.
 Test(ownership, taskDoesNotRunTwiceWhenFormerOwnerAndWorkerArePartitioned)
