Serialize a job once for each append, and list hosts less often in large fleets

The ledger writer computes the value of an entry when it sends it. The list is read at most once for each 0.5 ms a host, which leaves fleets of up to 600 hosts as they are.

--- a/packages/jobs/include/jujubespool/jobs/ledger_writer.h
+++ b/packages/jobs/include/jujubespool/jobs/ledger_writer.h
@@ -24,6 +24,9 @@
     ledger_writer(ledger_store &store, timer_service &clock, event_log &log, std::uint64_t epoch, std::uint64_t firstSequence);
 
     void put(ledger_entry entry);
+    // Puts an entry whose value is computed when it is sent, so that several changes in the meantime cost one computation.
+    using value_function = std::function<std::optional<std::string>()>;
+    void putLazily(const std::string &key, value_function value);
     // Calls back when all entries put before are durable; immediately if they already are.
     void whenDurable(durable_callback callback, instant now);
     bool appending() const
@@ -64,8 +67,8 @@
     event_log &m_log;
     std::uint64_t m_epoch;
     std::uint64_t m_nextSequence;
-    // Entries by key: a later value replaces an earlier one that has not been sent.
-    std::map<std::string, std::optional<std::string>> m_pending;
+    // Values by key: a later value replaces an earlier one that has not been sent.
+    std::map<std::string, value_function> m_pending;
     std::vector<durable_callback> m_pendingCallbacks;
     ledger_append m_append;
     std::vector<durable_callback> m_appendCallbacks;
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -9,6 +9,8 @@
 constexpr milliseconds LIST_INTERVAL{ 1000 };
 constexpr milliseconds LIST_INTERVAL_WITH_ORDERS{ 300 };
 constexpr milliseconds LIST_RETRY_DELAY{ 500 };
+// Minimum interval per host, which bounds the share of the time that reading the list takes in a large fleet.
+constexpr microseconds LIST_INTERVAL_PER_HOST{ 500 };
 // An order without an answer may still be carried out late. It counts as failed when the list shows no effect for
 // this long.
 constexpr milliseconds UNANSWERED_ORDER_TIMEOUT{ 4000 };
@@ -50,7 +52,8 @@
         m_hosts[host.name] = host;
     }
     resolveOrders(askedAt, now);
-    m_nextListAt = askedAt + (m_pendingOrders.empty() ? LIST_INTERVAL : LIST_INTERVAL_WITH_ORDERS);
+    const duration minInterval = LIST_INTERVAL_PER_HOST * static_cast<int>(m_hosts.size());
+    m_nextListAt = askedAt + std::max<duration>(m_pendingOrders.empty() ? LIST_INTERVAL : LIST_INTERVAL_WITH_ORDERS, minInterval);
 }
 
 void host_controller::resolveOrders(instant askedAt, instant now)
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -319,10 +319,10 @@
 void job_manager::writeChanged()
 {
     for (const std::string &id : m_model.takeChanged()) {
-        const job *changed = m_model.find(id);
-        if (changed != nullptr) {
-            m_writer.put({ ledgerKey(ledger_kind::job, id), changed->toImage().SerializeAsString() });
-        }
+        m_writer.putLazily(ledgerKey(ledger_kind::job, id), [this, id] {
+            const job *changed = m_model.find(id);
+            return changed == nullptr ? std::nullopt : std::optional(changed->toImage().SerializeAsString());
+        });
     }
     for (const std::string &id : m_model.takeEnded()) {
         onJobEnded(id);
--- a/packages/jobs/src/ledger_writer.cpp
+++ b/packages/jobs/src/ledger_writer.cpp
@@ -30,7 +30,14 @@
 
 void ledger_writer::put(ledger_entry entry)
 {
-    m_pending[std::move(entry.key)] = std::move(entry.value);
+    m_pending[std::move(entry.key)] = [value = std::move(entry.value)] {
+        return value;
+    };
+}
+
+void ledger_writer::putLazily(const std::string &key, value_function value)
+{
+    m_pending[key] = std::move(value);
 }
 
 void ledger_writer::whenDurable(durable_callback callback, instant now)
@@ -52,9 +59,10 @@
     m_append = { m_epoch, m_nextSequence++, std::nullopt, {}, FIRST_APPEND_TIMEOUT };
     std::size_t bytes = 0;
     while (!m_pending.empty() && bytes < MAX_APPEND_BYTES) {
-        auto entry = m_pending.extract(m_pending.begin());
-        bytes += entry.key().size() + (entry.mapped() ? entry.mapped()->size() : 0);
-        m_append.entries.push_back({ entry.key(), std::move(entry.mapped()) });
+        const auto pending = m_pending.extract(m_pending.begin());
+        ledger_entry entry{ pending.key(), pending.mapped()() };
+        bytes += entry.key.size() + (entry.value ? entry.value->size() : 0);
+        m_append.entries.push_back(std::move(entry));
     }
     if (m_pending.empty()) {
         m_appendCallbacks = std::move(m_pendingCallbacks);
