--- a/packages/manager/include/jujubespool/manager/order_relay.h
+++ b/packages/manager/include/jujubespool/manager/order_relay.h
@@ -68,6 +68,8 @@
     void relay(const worker_address &target, milliseconds resultTime, pending_order order);
     void flush(instant now);
     pending take(std::uint64_t number);
+    // Sends all orders directly that the helper has: one that is overdue shows that the helper may be lost.
+    void takeBack(std::uint64_t helper);
     // `sentBefore`: a helper may have sent the order.
     void sendDirectly(pending_order order, bool sentBefore);
     void complete(const wire::relayed_result &message, instant now);
--- a/packages/manager/src/order_relay.cpp
+++ b/packages/manager/src/order_relay.cpp
@@ -162,15 +162,27 @@
 void order_relay::tick(instant now)
 {
     m_tickedAt = now;
-    int overdue = 0;
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        pending entry = take(m_deadlines.begin()->second);
-        m_avoidUntil[entry.helper] = now + HELPER_AVOID_TIME;
-        ++overdue;
-        sendDirectly(std::move(entry.order), true);
+        const std::uint64_t helper = m_pending.at(m_deadlines.begin()->second).helper;
+        m_avoidUntil[helper] = now + HELPER_AVOID_TIME;
+        std::erase_if(m_helpers, [helper](const relay_helper &entry) { return entry.incarnation == helper; });
+        takeBack(helper);
     }
-    if (overdue > 0) {
-        m_log.write("relayed-orders-overdue", { { "orders", std::to_string(overdue) } });
+}
+
+void order_relay::takeBack(std::uint64_t helper)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, entry] : m_pending) {
+        if (entry.helper == helper) {
+            numbers.push_back(number);
+        }
+    }
+    // Orders of this pass of the event loop are not on their way yet.
+    m_batches.erase(helper);
+    m_log.write("relayed-orders-overdue", { { "helper", std::to_string(helper) }, { "orders", std::to_string(numbers.size()) } });
+    for (const std::uint64_t number : numbers) {
+        sendDirectly(take(number).order, true);
     }
 }
 
--- a/packages/manager/test/relay_test.cpp
+++ b/packages/manager/test/relay_test.cpp
@@ -189,6 +189,40 @@
     cr_assert_eq(fixture.outcomes.size(), 1U, "%s", testCase.name);
 }
 
+// A poll may take long, so that its own deadline would show much later that the helper is lost.
+Test(order_relay, sendsAllOrdersOfAHelperDirectlyOnceOneIsOverdue)
+{
+    relay_fixture fixture;
+    fixture.helperPaused = true;
+    poll_order poll;
+    poll.worker = WORKER;
+    poll.wait = milliseconds(2000);
+    int answers = 0;
+    fixture.relay.poll(poll, [&](const poll_result &, instant) { ++answers; });
+    fixture.sendStart();
+    fixture.advance(milliseconds(800));
+    cr_assert_eq(fixture.direct.starts.size(), 1U);
+    cr_assert_eq(fixture.direct.polls.size(), 1U);
+    fixture.direct.polls[0].second({}, fixture.clock.now());
+    fixture.advance(milliseconds(3000));
+    cr_assert_eq(fixture.direct.polls.size(), 1U);
+    cr_assert_eq(answers, 1);
+}
+
+Test(order_relay, sendsAnOrderOnceThatWaitsForItsBatchWhenTheHelperIsFoundLost)
+{
+    relay_fixture fixture;
+    fixture.helperPaused = true;
+    fixture.sendStart(1);
+    fixture.advance(milliseconds(25));
+    fixture.sendStart(2);
+    fixture.helperReachable = false;
+    fixture.relay.tick(fixture.clock.now() + seconds(1));
+    fixture.advance(milliseconds(100));
+    cr_assert_eq(fixture.direct.starts.size(), 2U);
+    cr_assert_eq(fixture.toHelper.size(), 1U);
+}
+
 Test(order_relay, avoidsAHelperThatReturnedNoResult)
 {
     relay_fixture fixture;
