Ignore messages to a former process at the same address

Cause: a manager that restarts gets the same address and numbers its calls and orders from 1 again. A late answer to the former process was taken for the answer to a new call of the same number; the entry hosts of the forwarding product have had this check, the managers had not.

The mutation test also builds and runs the tests of jobs and manager.

--- a/packages/manager/include/jujubespool/manager/peer_tracker.h
+++ b/packages/manager/include/jujubespool/manager/peer_tracker.h
@@ -23,6 +23,8 @@
     // Adds a process, or replaces it if it was restarted under the same node name.
     void updateMember(const std::string &node, const wire::member_image &image, instant now);
     void removeMember(const std::string &node);
+    // False if the message was sent to a former process at this address, whose numbers of calls and orders mean nothing here.
+    bool isForThisProcess(const wire::peer_message &message) const;
     // Records that a message from the process was received.
     void recordMessage(std::uint64_t incarnation, instant now);
     // Records that the process stated that it does not own the jobs, and whether it is about to end.
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -199,6 +199,10 @@
 void manager_process::onPeerMessage(const wire::peer_message &message)
 {
     const instant now = m_loop.now();
+    if (!m_peers.isForThisProcess(message)) {
+        m_log.count("peer_messages_misaddressed_total", "former-process");
+        return;
+    }
     m_peers.recordMessage(message.from_session(), now);
     switch (message.body_case()) {
     case wire::peer_message::kMember:
--- a/packages/manager/src/peer_tracker.cpp
+++ b/packages/manager/src/peer_tracker.cpp
@@ -72,6 +72,11 @@
     std::for_each(order.begin(), last, [](member *entry) { entry->candidate = true; });
 }
 
+bool peer_tracker::isForThisProcess(const wire::peer_message &message) const
+{
+    return message.to_session() == 0 || message.to_session() == m_self;
+}
+
 void peer_tracker::recordMessage(std::uint64_t incarnation, instant now)
 {
     member *entry = find(incarnation);
--- a/packages/manager/test/peer_tracker_test.cpp
+++ b/packages/manager/test/peer_tracker_test.cpp
@@ -150,3 +150,20 @@
     fleet.peers.recordMessage(101, START + seconds(5));
     cr_assert_eq(fleet.peers.rank(START + seconds(5)).value(), rank);
 }
+
+// A process that restarts gets the same address, and its calls and orders are numbered from 1 again. A late answer to the
+// former process must not be taken for an answer to a new call.
+Test(peer_tracker, recognizesMessagesToAFormerProcessAtTheSameAddress)
+{
+    tracker_fixture former;
+    former.add(1, 50, 200);
+    former.add(2, 50, 200);
+    former.peers.send(2, {}, START);
+    recording_transport transport;
+    const peer_tracker sameProcess(transport, 2, former.log);
+    const peer_tracker restartedProcess(transport, 3, former.log);
+    const wire::peer_message &message = former.transport.sent.at(0).second;
+    cr_assert(sameProcess.isForThisProcess(message));
+    cr_assert_not(restartedProcess.isForThisProcess(message));
+    cr_assert(restartedProcess.isForThisProcess({}));
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -11,6 +11,14 @@
 cmake --preset default -DWARNINGS_AS_ERRORS= >/dev/null || exit 1
 passed=0
 failed=0
+test_binaries=(core_test entry_test jobs_test manager_test)
+# all_pass runs the test binaries until one fails.
+all_pass() {
+    local binary
+    for binary in "${test_binaries[@]}"; do
+        "build/$binary" --jobs "$(nproc)" >"$binary.log" 2>&1 || return 1
+    done
+}
 while IFS='|' read -r name file text replacement; do
     [ -z "$name" ] && continue
     cp "$file" original
@@ -24,8 +32,8 @@
 open(path, "w", encoding="utf-8").write(source.replace(text, replacement, 1))
 PY
     replace_status=$?
-    if [ "$replace_status" = 0 ] && cmake --build build --target core_test entry_test >build.log 2>&1; then
-        if build/core_test --jobs "$(nproc)" >core.log 2>&1 && build/entry_test --jobs "$(nproc)" >entry.log 2>&1; then
+    if [ "$replace_status" = 0 ] && cmake --build build --target "${test_binaries[@]}" >build.log 2>&1; then
+        if all_pass; then
             echo "survived: $name"
             failed=$((failed + 1))
         else
