Survive unreadable entries of the ledger, forward calls with any bytes

Each process that took over would have ended in turn. - The text of a forwarded call was a protobuf string, which a receiver rejects together with the whole message unless it is valid UTF-8.

Both tests fail without the change.

--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -103,6 +103,7 @@
     void requestTickets(const ticket_request &request);
     void stopRuns(const std::string &id, instant now);
     void removeExpiredJobs(wall_ms wall);
+    void restoreWave(const std::string &name, const std::string &value);
     void restoreJob(const wire::job_image &image, instant leaseEnd, instant now);
 
     manager_gateways m_gateways;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/jobs/job_manager.h>
 
 #include <algorithm>
+#include <charconv>
 #include <jujubespool/jobs/ledger_keys.h>
 
 namespace jujubespool {
@@ -49,12 +50,11 @@
     for (const auto &[key, value] : entries) {
         const ledger_key parsed = parseLedgerKey(key);
         wire::job_image image;
-        wire::upkeep_image upkeep;
         wire::host_order_image hostOrder;
         if (parsed.kind == ledger_kind::job && image.ParseFromString(value)) {
             restoreJob(image, leaseEnd, now);
-        } else if (parsed.kind == ledger_kind::wave && upkeep.ParseFromString(value)) {
-            m_hostMaintenance.restore(std::stoull(parsed.name), upkeep);
+        } else if (parsed.kind == ledger_kind::wave) {
+            restoreWave(parsed.name, value);
         } else if (parsed.kind == ledger_kind::host && hostOrder.ParseFromString(value)) {
             m_hostController.restoreOrder(parsed.name, hostOrder.ordered_ms(), wall, now);
         }
@@ -71,6 +71,18 @@
     processChanges(now);
 }
 
+void job_manager::restoreWave(const std::string &name, const std::string &value)
+{
+    std::uint64_t number = 0;
+    wire::upkeep_image image;
+    const auto [end, error] = std::from_chars(name.data(), name.data() + name.size(), number);
+    if (error != std::errc() || end != name.data() + name.size() || !image.ParseFromString(value)) {
+        m_log.write("ledger-entry-unreadable", { { "wave", name } });
+        return;
+    }
+    m_hostMaintenance.restore(number, image);
+}
+
 void job_manager::restoreJob(const wire::job_image &image, instant leaseEnd, instant now)
 {
     std::optional<job> parsed = job::fromImage(image);
--- a/packages/manager/test/call_router_test.cpp
+++ b/packages/manager/test/call_router_test.cpp
@@ -105,3 +105,16 @@
         cr_assert_eq(fixture.status, reachable ? 504 : 503);
     }
 }
+
+// Protobuf rejects a message whose text fields are not valid UTF-8, so the caller would wait for an answer in vain.
+Test(call_router, forwardsCallsWhoseTextIsNotUnicode)
+{
+    const std::string bytes = "/q/\xff\xfe";
+    router_fixture fixture;
+    fixture.setOwner(FIRST_OWNER);
+    fixture.router.handle(
+        { "POST", bytes, bytes, bytes, bytes }, [](const http_reply &) {}, fixture.now);
+    wire::peer_message received;
+    cr_assert(received.ParseFromString(fixture.transport.sent.back().second.SerializeAsString()));
+    cr_assert(received.call().path() == bytes && received.call().host() == bytes && received.call().authorization() == bytes);
+}
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -387,3 +387,18 @@
     cr_assert_eq(fleet.call("entry-2", "GET", QUEUE_PATH + FIRST_JOB), 200);
     cr_assert_eq(fleet.call("entry-1", "GET", QUEUE_PATH + FIRST_JOB), 503);
 }
+
+// An entry that cannot be read must not keep every process from owning the jobs, one after the other.
+Test(ownership, isClaimedDespiteUnreadableEntriesInTheLedger)
+{
+    const std::string unreadable = "\xff\xff\xff";
+    fleet_fixture fleet;
+    for (const char *key : { "wave/x", "wave/", "wave/99999999999999999999999", "job/a", "host/h", "owner/current", "other", "" }) {
+        fleet.platform.clientsOf("operator").feeds.put(feed::ledger, { key, unreadable }, [](const ledger_append_result &, instant) {});
+    }
+    fleet.platform.advance(milliseconds(100));
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    cr_assert(fleet.sessions.at("entry-1")->active());
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "2"), 200);
+}
