--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -13,7 +13,7 @@
 const char USAGE[] = R"(jujubespoold - entry host of a jujubespool fleet.
 
 Usage:
-  jujubespoold manager [--settings=FILE] [--metrics-port=PORT] [--log-level=LEVEL] [--check]
+  jujubespoold manager [--settings=FILE] [--metrics-port=PORT] [--relay-from=WORKERS] [--log-level=LEVEL] [--check]
   jujubespoold --settings=FILE [--log-level=LEVEL] [--check]
   jujubespoold (-h | --help)
   jujubespoold --version
@@ -25,6 +25,7 @@
   --settings=FILE    Settings file of this entry host, in YAML. For a manager, a file in the platform's format;
                      by default the file that the platform provides.
   --metrics-port=PORT  Port on which a manager serves its metrics; 0 disables it [default: 0].
+  --relay-from=WORKERS  Number of workers from which an owner lets other processes send its orders [default: 400].
   --log-level=LEVEL  Minimum level that is logged: debug, info, warning or error [default: info].
   --check            Check the settings and exit.
   -h --help          Show this help.
@@ -36,24 +37,34 @@
     return static_cast<int>(code);
 }
 
-int runManager(const std::string &path, const std::string &metricsPort, bool checkOnly)
+// Empty unless the whole text is a number of the type.
+template <typename Number> std::optional<Number> parseNumber(const std::string &text)
+{
+    Number number = 0;
+    const char *textEnd = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), textEnd, number);
+    return error == std::errc() && end == textEnd ? std::optional(number) : std::nullopt;
+}
+
+int runManager(std::map<std::string, docopt::value> &arguments, const std::string &path)
 {
     using namespace jujubespool;
     std::string problem;
     std::optional<manager_settings> settings = adapter::readSettings(adapter::settingsPath(path), problem);
-    std::uint16_t port = 0;
-    const char *textEnd = metricsPort.data() + metricsPort.size();
-    const auto [end, error] = std::from_chars(metricsPort.data(), textEnd, port);
-    if (error != std::errc() || end != textEnd) {
+    const auto metricsPort = parseNumber<std::uint16_t>(arguments["--metrics-port"].asString());
+    const auto relayFrom = parseNumber<std::uint32_t>(arguments["--relay-from"].asString());
+    if (!metricsPort) {
         problem = "--metrics-port must be a port number from 0 to 65535";
-        settings.reset();
+    } else if (!relayFrom) {
+        problem = "--relay-from must be a number of workers";
     }
-    if (!settings) {
+    if (!settings || !metricsPort || !relayFrom) {
         fmt::print(stderr, "jujubespoold: {}\n", problem);
         return exitWith(exit_code::usage);
     }
-    settings->metricsPort = port;
-    return exitWith(checkOnly ? exit_code::stopped : adapter::runManager(*settings));
+    settings->metricsPort = *metricsPort;
+    settings->relayFromWorkers = *relayFrom;
+    return exitWith(arguments["--check"].asBool() ? exit_code::stopped : adapter::runManager(*settings));
 }
 
 } // namespace
@@ -82,7 +93,7 @@
     setLogLevel(*level);
     const std::string path = arguments["--settings"] ? arguments["--settings"].asString() : std::string();
     if (arguments["manager"].asBool()) {
-        return runManager(path, arguments["--metrics-port"].asString(), arguments["--check"].asBool());
+        return runManager(arguments, path);
     }
     std::vector<config_problem> problems;
     const auto settings = readSettings(path, problems);
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -108,7 +108,6 @@
     // Start of the delay before the next handover request: when heartbeats from an owner on a host with much less
     // capacity were first received, or when the last request was sent.
     instant m_handoverWaitSince;
-    instant m_stopAt;
     instant m_stopStartedAt;
     lifetime m_lifetime;
 };
--- a/packages/manager/include/jujubespool/manager/manager_settings.h
+++ b/packages/manager/include/jujubespool/manager/manager_settings.h
@@ -19,6 +19,9 @@
     std::uint16_t peerPort = 0;
     // Port for metrics; 0 disables them.
     std::uint16_t metricsPort = 0;
+    // An owner of at least this many workers lets other processes send its orders. With fewer workers, it sends all orders
+    // itself, which takes one message less for each.
+    std::uint32_t relayFromWorkers = 400;
     std::string storeAddress;
     std::string hostServiceAddress;
     std::string policyServiceAddress;
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -24,8 +24,6 @@
 constexpr milliseconds NOT_SERVING_BEFORE_UNREADY{ 700 };
 // A process on a host with much more capacity requests a handover after it has received the owner's heartbeats for this long.
 constexpr milliseconds HANDOVER_REQUEST_DELAY{ 1500 };
-// An owner of fewer workers than this sends all orders itself, which takes one message less for each.
-constexpr std::size_t MIN_WORKERS_FOR_RELAY = 400;
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
 
@@ -192,8 +190,8 @@
 
 void manager_process::updateRelayHelpers(instant now)
 {
-    const bool large = m_session->manager()->model().workers().all().size() >= MIN_WORKERS_FOR_RELAY;
-    m_relay.setHelpers(large ? m_peers.relayHelpers(now) : std::vector<relay_helper>());
+    const bool manyWorkers = m_session->manager()->model().workers().all().size() >= m_settings.relayFromWorkers;
+    m_relay.setHelpers(manyWorkers ? m_peers.relayHelpers(now) : std::vector<relay_helper>());
 }
 
 void manager_process::onPeerMessage(const wire::peer_message &message)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -37,6 +37,8 @@
 VISIBILITY_DELAY_S = 3.0
 CLIENT_COUNT = 4
 ALWAYS_FAILS_COUNT = 99
+# More workers than the test has.
+NEVER = 1000000
 
 
 def loopback_address(number):
@@ -105,8 +107,9 @@
 class Manager:
     """A manager process, with a proxy for its clients and one for its connections to the platform."""
 
-    def __init__(self, number, platform, directory):
+    def __init__(self, number, platform, directory, relay_from):
         self.name = f"manager-{number}"
+        self.relay_from = relay_from
         self.ip = loopback_address(number)
         self.port, self.peer_port, self.ready_port = (free_port(self.ip) for _ in range(3))
         self.platform_proxy = Proxy(platform)
@@ -133,7 +136,8 @@
 
     def launch(self):
         with open(self.log_path, "ab") as log:
-            self.process = subprocess.Popen([os.path.join(BINARIES, "jujubespoold"), "manager", "--metrics-port=0"],
+            self.process = subprocess.Popen([os.path.join(BINARIES, "jujubespoold"), "manager", "--metrics-port=0",
+                                             f"--relay-from={self.relay_from}"],
                                             env={**os.environ, "JUJUBESPOOL_SETTINGS": self.settings}, stdout=log, stderr=log)
         self.paused = False
         self.expected_exit = False
@@ -215,6 +219,8 @@
         self.seconds = seconds
         self.directory = directory
         self.manager_count = managers
+        # With an odd seed, the other managers send the owner's orders to the workers.
+        self.relay_from = 1 if seed % 2 == 1 else NEVER
         self.jobs = []
         self.problems = []
         self.fault_count = 0
@@ -225,7 +231,7 @@
         pools = [f"--pool={name}:{count}" for name, count in {**POOLS, SPARE_POOL: SPARE_HOSTS}.items()]
         self.platform = subprocess.Popen([os.path.join(BINARIES, "standin_jobs"), *pools], stdout=subprocess.PIPE, text=True)
         self.address = self.platform.stdout.readline().strip()
-        self.managers = [Manager(i, self.address, self.directory) for i in range(self.manager_count)]
+        self.managers = [Manager(i, self.address, self.directory, self.relay_from) for i in range(self.manager_count)]
         try:
             await self.publish_config()
             for manager in self.managers:
