Claim only the ownership that the decision to claim was about

The session now gets the epoch of the ledger read that led to the claim. Test: a claim decided on a ledger without an owner fails 0.5 s after another process has claimed.

--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -90,6 +90,8 @@
     relay_executor m_relayExecutor;
     owner_election m_election;
     owner_record_reader m_ownerRecordReader;
+    // Epoch of the owner when the ledger was last read; empty after a heartbeat of an owner whose store responds.
+    std::optional<std::uint64_t> m_ownerEpochRead;
     feed_watcher m_memberWatcher;
     http_listener m_callerListener;
     http_listener m_readinessListener;
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -36,8 +36,10 @@
     owner_session(const platform_clients &clients, timer_service &timers, event_log &log, const manager_settings &settings,
                   const process_identity &identity, std::function<wall_ms()> wallClock);
 
-    // Starts to read the store and then claims the ownership; reports the result as an event.
-    void begin(event_callback onEvent);
+    // Starts to read the store and then claims the ownership; reports the result as an event. The claim fails if the ledger
+    // shows a later owner than the one of `ownerEpochSeen`, on which the decision to claim was based; without it, the session
+    // reads the present owner first.
+    void begin(event_callback onEvent, std::optional<std::uint64_t> ownerEpochSeen = std::nullopt);
     // See job_manager::setPeerConfirmation().
     void setPeerConfirmation(std::function<bool(instant now)> confirmed)
     {
@@ -103,8 +105,8 @@
     std::map<std::string, std::string> m_ledger;
     std::uint64_t m_ledgerEnd = 0;
     bool m_ledgerStarted = false;
-    // Epoch of the ownership in the ledger when this session began; empty until it has been read.
-    std::optional<std::uint64_t> m_epochAtBegin;
+    // Epoch of the ownership that this session is to replace; empty until it is known.
+    std::optional<std::uint64_t> m_ownerEpochSeen;
     std::uint64_t m_epoch = 0;
     int m_claimAttempts = 0;
     bool m_active = false;
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -247,6 +247,9 @@
         return;
     }
     m_election.recordHeartbeat(heartbeat.epoch(), milliseconds(heartbeat.store_silent_ms()), now);
+    if (milliseconds(heartbeat.store_silent_ms()) < OWNER_STORE_TIMEOUT) {
+        m_ownerEpochRead.reset();
+    }
     if (m_knownOwner != heartbeat.owner_incarnation()) {
         m_knownOwner = heartbeat.owner_incarnation();
         m_log.write("owner-known", { { "epoch", std::to_string(heartbeat.epoch()) }, { "incarnation", std::to_string(m_knownOwner) } });
@@ -335,6 +338,7 @@
 void manager_process::readLedgerEnd()
 {
     m_ownerRecordReader.read([this](const owner_record &record, instant now) {
+        m_ownerEpochRead = record.epoch;
         m_election.recordLedgerRead(record.ledgerEnd, record.resigned, record.known || record.ledgerEnd > 0, now);
     });
 }
@@ -348,7 +352,8 @@
                                     m_clients.policy, m_clients.waveStatus, m_clients.codec };
     m_session = std::make_unique<owner_session>(clients, m_timers, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
     m_session->setPeerConfirmation([this](instant then) { return m_peers.allPeersDenyOwnership(then); });
-    m_session->begin([this](session_event event, instant then) { onSessionEvent(event, then); });
+    m_session->begin([this](session_event event, instant then) { onSessionEvent(event, then); },
+                     std::exchange(m_ownerEpochRead, std::nullopt));
 }
 
 void manager_process::onSessionEvent(session_event event, instant now)
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -44,10 +44,13 @@
 {
 }
 
-void owner_session::begin(event_callback onEvent)
+void owner_session::begin(event_callback onEvent, std::optional<std::uint64_t> ownerEpochSeen)
 {
     m_onEvent = std::move(onEvent);
-    m_ownerRecordReader.read([this](const owner_record &record, instant) { m_epochAtBegin = record.epoch; });
+    m_ownerEpochSeen = ownerEpochSeen;
+    if (!m_ownerEpochSeen) {
+        m_ownerRecordReader.read([this](const owner_record &record, instant) { m_ownerEpochSeen = record.epoch; });
+    }
     m_operators.start([this](const ledger_entry &entry, instant now) { applyOperatorEntry(entry, now); },
                       [this](instant now) { onFeedCaughtUp(now); });
     m_workers.start([this](const ledger_entry &entry, instant now) { applyWorkerEntry(entry, now); },
@@ -167,7 +170,7 @@
     if (found != m_ledger.end() && !previousOwner.ParseFromString(found->second)) {
         m_log.write("ledger-entry-unreadable", { { "key", found->first } });
     }
-    if (m_epochAtBegin && previousOwner.epoch() > *m_epochAtBegin) {
+    if (m_ownerEpochSeen && previousOwner.epoch() > *m_ownerEpochSeen) {
         // A second change of owner would gain nothing: the other owner would have to poll all workers for nothing.
         failClaim("another process has claimed the ownership", now);
         return;
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -35,13 +35,13 @@
         platform.addWorker("worker-2", "pool", WORKER_CAPACITY);
     }
 
-    owner_session &begin(const std::string &process, std::uint64_t incarnation)
+    owner_session &begin(const std::string &process, std::uint64_t incarnation, std::optional<std::uint64_t> ownerEpochSeen = {})
     {
         manager_settings settings;
         settings.node = process;
         sessions[process] = std::make_unique<owner_session>(platform.clientsOf(process), platform, log, settings,
                                                             process_identity{ process, incarnation }, [this] { return platform.wall(); });
-        sessions[process]->begin([this, process](session_event event, instant) { events[process].push_back(event); });
+        sessions[process]->begin([this, process](session_event event, instant) { events[process].push_back(event); }, ownerEpochSeen);
         scheduleTicks(process);
         return *sessions[process];
     }
@@ -165,6 +165,22 @@
     }
 }
 
+// The decision to claim was based on a ledger without an owner, however late the claim itself begins.
+Test(ownership, processThatDecidedToClaimBeforeAnotherOneClaimedLeavesTheOwnershipToIt)
+{
+    fleet_fixture fleet;
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    fleet.begin("entry-2", 22, 0);
+    fleet.platform.advance(seconds(1));
+    cr_assert(fleet.sessions.at("entry-1")->active());
+    cr_assert_not(fleet.sessions.at("entry-2")->active());
+    cr_assert(fleet.events["entry-2"] == std::vector<session_event>{ session_event::claim_failed });
+    fleet.begin("entry-3", 33, 1);
+    fleet.platform.advance(seconds(1));
+    cr_assert(fleet.sessions.at("entry-3")->active());
+}
+
 // A former owner that is partitioned from the store may still reach a worker that its successor cannot reach. The successor
 // must not start that worker's tasks elsewhere while they still run.
 Test(ownership, taskDoesNotRunTwiceWhenFormerOwnerAndWorkerArePartitioned)
