Send no relayed order late unless this process may still act as owner

Late starts and polls ask job_manager::isOwnershipConfirmed() first; otherwise their result is reported as unknown, and the supervisor decides. Stop orders are always sent.

--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -73,6 +73,8 @@
     {
         m_confirmedByPeers = std::move(confirmed);
     }
+    // Whether no other process can own the jobs: a record was durable recently, or all other processes deny it.
+    bool isOwnershipConfirmed(instant now) const override;
     // Writes the ownership record again, which shows the other processes that this owner is alive.
     void renewOwnership(const ledger_entry &record, instant now);
     instant lastDurableAt() const
@@ -95,7 +97,6 @@
     void onFenced(instant now) override;
     void onBadTicket(const task_key &key, const std::string &workerId) override;
     wall_ms wallNow() const override;
-    bool isOwnershipConfirmed(instant now) const override;
     void processChanges(instant now);
     void schedule(instant now);
     void writeChanged();
--- a/packages/manager/include/jujubespool/manager/order_relay.h
+++ b/packages/manager/include/jujubespool/manager/order_relay.h
@@ -1,6 +1,6 @@
 // Sends the owner's orders to workers through helpers, so that the owner does not pay for one call per order.
 //
-//     order_relay relay(directWorkers, timers, log, send);
+//     order_relay relay(directWorkers, timers, log, send, mayAct);
 //     relay.begin(epoch);
 //     relay.setHelpers(helpers);           // without helpers, each order is sent directly
 //     relay.start(order, done);
@@ -9,7 +9,8 @@
 //
 // A helper can be lost or paused with an order in hand. An order without a result is therefore sent once more, directly:
 // starts of the same run, stops and polls are idempotent. An order that a helper carries out late looks to the worker like
-// one that the network delayed: the fencing token, the run number and the lease bound what it can do.
+// one that the network delayed: the fencing token, the run number and the lease bound what it can do. Before it sends an
+// order later than it was given, the relay asks whether this process may still act as the owner: it may have been paused.
 #pragma once
 
 #include <jujubespool/jobs/lifetime.h>
@@ -28,7 +29,9 @@
     using poll_callback = std::function<void(const poll_result &, instant now)>;
     // Returns false if the message could not be sent.
     using send_function = std::function<bool(std::uint64_t to, wire::peer_message message, instant now)>;
-    order_relay(worker_gateway &direct, timer_service &timers, event_log &log, send_function send);
+    // Whether this process may act as the owner.
+    using permission_check = std::function<bool(instant now)>;
+    order_relay(worker_gateway &direct, timer_service &timers, event_log &log, send_function send, permission_check mayAct);
 
     // Begins a term of ownership. The results of orders of earlier terms are ignored.
     void begin(std::uint64_t epoch);
@@ -69,15 +72,18 @@
     void flush(instant now);
     pending take(std::uint64_t number);
     // Sends all orders directly that the helper has: one that is overdue shows that the helper may be lost.
-    void takeBack(std::uint64_t helper);
+    void takeBack(std::uint64_t helper, instant now);
     // `sentBefore`: a helper may have sent the order.
     void sendDirectly(pending_order order, bool sentBefore);
+    // The same if this process may still act; otherwise reports that the result is unknown. Stop orders are always sent.
+    void sendLate(pending_order order, bool sentBefore, instant now);
     void complete(const wire::relayed_result &message, instant now);
 
     worker_gateway &m_direct;
     timer_service &m_timers;
     event_log &m_log;
     send_function m_send;
+    permission_check m_mayAct;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_nextNumber = 1;
     instant m_tickedAt;
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -60,6 +60,11 @@
     {
         return m_epoch;
     }
+    // See job_manager::isOwnershipConfirmed(). False unless the session is active.
+    bool isOwnershipConfirmed(instant now) const
+    {
+        return m_active && m_manager->isOwnershipConfirmed(now);
+    }
     // Handles a request of a caller. Call it only after the `claimed` event.
     void handle(const http_call &call, instant now, const http_reply_callback &reply);
     // Advances the job manager and renews the ownership; call it periodically.
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -41,8 +41,10 @@
     , m_link(loop.base())
     , m_peers(m_link, m_identity.incarnation, log)
     , m_router(m_peers, log)
-    , m_relay(clients.workers, m_timers, log,
-              [this](std::uint64_t to, wire::peer_message message, instant now) { return m_peers.send(to, std::move(message), now); })
+    , m_relay(
+          clients.workers, m_timers, log,
+          [this](std::uint64_t to, wire::peer_message message, instant now) { return m_peers.send(to, std::move(message), now); },
+          [this](instant now) { return m_session && m_session->isOwnershipConfirmed(now); })
     , m_relayExecutor(clients.workers, m_timers, log,
                       [this](std::uint64_t to, wire::peer_message message, instant now) { m_peers.send(to, std::move(message), now); })
     , m_ownerRecordReader(clients.feeds)
--- a/packages/manager/src/order_relay.cpp
+++ b/packages/manager/src/order_relay.cpp
@@ -20,11 +20,12 @@
 
 } // namespace
 
-order_relay::order_relay(worker_gateway &direct, timer_service &timers, event_log &log, send_function send)
+order_relay::order_relay(worker_gateway &direct, timer_service &timers, event_log &log, send_function send, permission_check mayAct)
     : m_direct(direct)
     , m_timers(timers)
     , m_log(log)
     , m_send(std::move(send))
+    , m_mayAct(std::move(mayAct))
 {
 }
 
@@ -100,11 +101,11 @@
         wire::peer_message message;
         *message.mutable_orders() = std::move(orders);
         message.mutable_orders()->set_epoch(m_epoch);
-        if (m_send(helper, std::move(message), now)) {
+        if (m_mayAct(now) && m_send(helper, std::move(message), now)) {
             continue;
         }
         for (const std::uint64_t number : numbers) {
-            sendDirectly(take(number).order, false);
+            sendLate(take(number).order, false, now);
         }
     }
 }
@@ -130,6 +131,20 @@
                order);
 }
 
+void order_relay::sendLate(pending_order order, bool sentBefore, instant now)
+{
+    if (m_mayAct(now) || std::holds_alternative<relayed_stop>(order)) {
+        sendDirectly(std::move(order), sentBefore);
+        return;
+    }
+    m_log.write("late-order-dropped", { { "reason", "the ownership is not confirmed" } });
+    std::visit(overloaded{ [now](const relayed_poll &entry) { entry.done(poll_result(), now); },
+                           [now](const auto &entry) {
+                               entry.done(order_result(), now);
+                           } },
+               order);
+}
+
 void order_relay::onResults(const wire::relayed_results &results, instant now)
 {
     for (const wire::relayed_result &message : results.results()) {
@@ -143,7 +158,7 @@
 {
     pending entry = take(message.number());
     if (message.declined()) {
-        sendDirectly(std::move(entry.order), false);
+        sendLate(std::move(entry.order), false, now);
         return;
     }
     const auto report = [&](const auto &result, const auto &done) {
@@ -166,11 +181,11 @@
         const std::uint64_t helper = m_pending.at(m_deadlines.begin()->second).helper;
         m_avoidUntil[helper] = now + HELPER_AVOID_TIME;
         std::erase_if(m_helpers, [helper](const relay_helper &entry) { return entry.incarnation == helper; });
-        takeBack(helper);
+        takeBack(helper, now);
     }
 }
 
-void order_relay::takeBack(std::uint64_t helper)
+void order_relay::takeBack(std::uint64_t helper, instant now)
 {
     std::vector<std::uint64_t> numbers;
     for (const auto &[number, entry] : m_pending) {
@@ -182,7 +197,7 @@
     m_batches.erase(helper);
     m_log.write("relayed-orders-overdue", { { "helper", std::to_string(helper) }, { "orders", std::to_string(numbers.size()) } });
     for (const std::uint64_t number : numbers) {
-        sendDirectly(take(number).order, true);
+        sendLate(take(number).order, true, now);
     }
 }
 
--- a/packages/manager/test/relay_test.cpp
+++ b/packages/manager/test/relay_test.cpp
@@ -87,6 +87,7 @@
     counting_log log;
     recording_workers direct;
     recording_workers helperWorkers;
+    bool ownershipConfirmed = true;
     bool helperReachable = true;
     bool helperPaused = false;
     bool resultsLost = false;
@@ -97,12 +98,16 @@
                                     relay.onResults(message.results(), now);
                                 }
                             } };
-    order_relay relay{ direct, clock, log, [this](std::uint64_t, wire::peer_message message, instant) {
-                          if (helperReachable) {
-                              toHelper.push_back(std::move(message));
-                          }
-                          return helperReachable;
-                      } };
+    order_relay relay{ direct, clock, log,
+                       [this](std::uint64_t, wire::peer_message message, instant) {
+                           if (helperReachable) {
+                               toHelper.push_back(std::move(message));
+                           }
+                           return helperReachable;
+                       },
+                       [this](instant) {
+                           return ownershipConfirmed;
+                       } };
 };
 
 } // namespace
@@ -223,6 +228,37 @@
     cr_assert_eq(fixture.toHelper.size(), 1U);
 }
 
+// An owner that was paused finds its own orders overdue when it resumes, and another owner may have taken over meanwhile.
+Test(order_relay, sendsNoOverdueStartOrPollAfterItsOwnPause)
+{
+    relay_fixture fixture;
+    fixture.helperPaused = true;
+    fixture.sendStart();
+    int unknownPolls = 0;
+    poll_order poll;
+    poll.worker = WORKER;
+    fixture.relay.poll(poll, [&](const poll_result &result, instant) { unknownPolls += result.status == order_status::unknown ? 1 : 0; });
+    int stops = 0;
+    fixture.relay.stop({ WORKER, { JOB, 0, 0, 1 }, 1, EPOCH }, [&](const order_result &, instant) { ++stops; });
+    fixture.advance(milliseconds(25));
+    fixture.ownershipConfirmed = false;
+    fixture.relay.tick(fixture.clock.now() + seconds(5));
+    cr_assert(fixture.direct.starts.empty() && fixture.direct.polls.empty());
+    cr_assert_eq(fixture.direct.stops.size(), 1U);
+    cr_assert(fixture.outcomes == std::vector<order_status>{ order_status::unknown });
+    cr_assert_eq(unknownPolls, 1);
+}
+
+Test(order_relay, sendsNoBatchAfterItsOwnPause)
+{
+    relay_fixture fixture;
+    fixture.sendStart();
+    fixture.ownershipConfirmed = false;
+    fixture.advance(milliseconds(50));
+    cr_assert(fixture.helperWorkers.starts.empty() && fixture.direct.starts.empty());
+    cr_assert(fixture.outcomes == std::vector<order_status>{ order_status::unknown });
+}
+
 Test(order_relay, avoidsAHelperThatReturnedNoResult)
 {
     relay_fixture fixture;
