--- a/packages/manager/include/jujubespool/manager/order_relay.h
+++ b/packages/manager/include/jujubespool/manager/order_relay.h
@@ -7,10 +7,12 @@
 //     relay.onResults(results);
 //     relay.tick(now);
 //
-// A helper can be lost or paused with an order in hand. An order without a result is therefore sent once more, directly:
-// starts of the same run, stops and polls are idempotent. An order that a helper carries out late looks to the worker like
-// one that the network delayed: the fencing token, the run number and the lease bound what it can do. Before it sends an
-// order later than it was given, the relay asks whether this process may still act as the owner: it may have been paused.
+// A helper can be lost or paused with an order in hand. A stop or poll without a result is then sent once more, directly, as
+// both are idempotent. A start without a result is reported as unknown: the helper may have carried it out, so that not even
+// a worker's refusal of a second attempt would prove that nothing runs. An order that a helper carries out late looks to the
+// worker like one that the network delayed: the fencing token, the run number and the lease bound what it can do. Before it
+// sends an order later than it was given, the relay asks whether this process may still act as the owner: it may have been
+// paused.
 #pragma once
 
 #include <jujubespool/jobs/lifetime.h>
@@ -41,7 +43,7 @@
     void setSpeedLimit(const speed_limit_order &order, order_callback done) override;
     void poll(const poll_order &order, poll_callback done) override;
     void onResults(const wire::relayed_results &results, instant now);
-    // Sends orders directly whose results are overdue. Call at regular intervals.
+    // Ends the wait for results that are overdue. Call at regular intervals.
     void tick(instant now);
 
 private:
@@ -71,12 +73,12 @@
     void relay(const worker_address &target, milliseconds resultTime, pending_order order);
     void flush(instant now);
     pending take(std::uint64_t number);
-    // Sends all orders directly that the helper has: one that is overdue shows that the helper may be lost.
+    // Ends the wait for all orders that the helper has: one that is overdue shows that the helper may be lost.
     void takeBack(std::uint64_t helper, instant now);
-    // `sentBefore`: a helper may have sent the order.
-    void sendDirectly(pending_order order, bool sentBefore);
+    void sendDirectly(pending_order order);
     // The same if this process may still act; otherwise reports that the result is unknown. Stop orders are always sent.
-    void sendLate(pending_order order, bool sentBefore, instant now);
+    void sendLate(pending_order order, instant now);
+    static void reportUnknown(const pending_order &order, instant now);
     void complete(const wire::relayed_result &message, instant now);
 
     worker_gateway &m_direct;
--- a/packages/manager/src/order_relay.cpp
+++ b/packages/manager/src/order_relay.cpp
@@ -78,7 +78,7 @@
 {
     const std::uint64_t helper = chooseHelper(target, m_helpers);
     if (helper == 0) {
-        sendDirectly(std::move(order), false);
+        sendDirectly(std::move(order));
         return;
     }
     const std::uint64_t number = m_nextNumber++;
@@ -105,7 +105,7 @@
             continue;
         }
         for (const std::uint64_t number : numbers) {
-            sendLate(take(number).order, false, now);
+            sendLate(take(number).order, now);
         }
     }
 }
@@ -118,12 +118,9 @@
     return entry;
 }
 
-void order_relay::sendDirectly(pending_order order, bool sentBefore)
+void order_relay::sendDirectly(pending_order order)
 {
-    std::visit(overloaded{ [&](relayed_start &entry) {
-                              entry.order.repeated = sentBefore;
-                              m_direct.start(entry.order, std::move(entry.done));
-                          },
+    std::visit(overloaded{ [&](relayed_start &entry) { m_direct.start(entry.order, std::move(entry.done)); },
                            [&](relayed_stop &entry) { m_direct.stop(entry.order, std::move(entry.done)); },
                            [&](relayed_poll &entry) {
                                m_direct.poll(entry.order, std::move(entry.done));
@@ -131,13 +128,18 @@
                order);
 }
 
-void order_relay::sendLate(pending_order order, bool sentBefore, instant now)
+void order_relay::sendLate(pending_order order, instant now)
 {
     if (m_mayAct(now) || std::holds_alternative<relayed_stop>(order)) {
-        sendDirectly(std::move(order), sentBefore);
+        sendDirectly(std::move(order));
         return;
     }
     m_log.write("late-order-dropped", { { "reason", "the ownership is not confirmed" } });
+    reportUnknown(order, now);
+}
+
+void order_relay::reportUnknown(const pending_order &order, instant now)
+{
     std::visit(overloaded{ [now](const relayed_poll &entry) { entry.done(poll_result(), now); },
                            [now](const auto &entry) {
                                entry.done(order_result(), now);
@@ -158,7 +160,7 @@
 {
     pending entry = take(message.number());
     if (message.declined()) {
-        sendLate(std::move(entry.order), false, now);
+        sendLate(std::move(entry.order), now);
         return;
     }
     const auto report = [&](const auto &result, const auto &done) {
@@ -197,7 +199,12 @@
     m_batches.erase(helper);
     m_log.write("relayed-orders-overdue", { { "helper", std::to_string(helper) }, { "orders", std::to_string(numbers.size()) } });
     for (const std::uint64_t number : numbers) {
-        sendLate(take(number).order, true, now);
+        pending entry = take(number);
+        if (std::holds_alternative<relayed_start>(entry.order)) {
+            reportUnknown(entry.order, now);
+        } else {
+            sendLate(std::move(entry.order), now);
+        }
     }
 }
 
--- a/packages/manager/test/relay_test.cpp
+++ b/packages/manager/test/relay_test.cpp
@@ -161,12 +161,12 @@
     cr_assert(received.finished.size() == 1 && received.finished[0].number == 9 && received.finished[0].checkpoint == "end");
 }
 
-// How a helper can fail, and whether the owner's direct order must be marked as a repeat of one that may have been sent.
+// How a helper can fail, and whether it may have carried out the order.
 struct helper_fault_row
 {
     const char *name;
     void (*inject)(relay_fixture &fixture);
-    bool repeated;
+    bool mayHaveRun;
 };
 
 const helper_fault_row HELPER_FAULTS[] = {
@@ -176,26 +176,29 @@
     { "knows a later owner", [](relay_fixture &fixture) { fixture.executor.recordEpoch(EPOCH + 1); }, false },
 };
 
-ParameterizedTestParameters(order_relay, sendsTheOrderOnceDirectlyIfTheHelperFails)
+ParameterizedTestParameters(order_relay, reportsAStartAsRefusedOnlyIfNoHelperCanHaveCarriedItOut)
 {
     return rowsOf(HELPER_FAULTS);
 }
 
-ParameterizedTest(std::size_t *row, order_relay, sendsTheOrderOnceDirectlyIfTheHelperFails)
+// The owner's own attempt may be refused because a cut has reached it meanwhile, while the helper's attempt runs behind the cut.
+ParameterizedTest(std::size_t *row, order_relay, reportsAStartAsRefusedOnlyIfNoHelperCanHaveCarriedItOut)
 {
     const helper_fault_row &testCase = HELPER_FAULTS[*row];
     relay_fixture fixture;
     testCase.inject(fixture);
     fixture.sendStart();
     fixture.advance(milliseconds(3000));
-    cr_assert_eq(fixture.direct.starts.size(), 1U, "%s", testCase.name);
-    cr_assert_eq(fixture.direct.starts[0].first.repeated, testCase.repeated, "%s", testCase.name);
-    fixture.direct.starts[0].second({ order_status::accepted, 1, {} }, fixture.clock.now());
+    for (auto &[order, done] : fixture.direct.starts) {
+        cr_assert_not(order.repeated, "%s", testCase.name);
+        done({ order_status::refused, {}, {} }, fixture.clock.now());
+    }
     cr_assert_eq(fixture.outcomes.size(), 1U, "%s", testCase.name);
+    cr_assert(fixture.outcomes[0] == (testCase.mayHaveRun ? order_status::unknown : order_status::refused), "%s", testCase.name);
 }
 
 // A poll may take long, so that its own deadline would show much later that the helper is lost.
-Test(order_relay, sendsAllOrdersOfAHelperDirectlyOnceOneIsOverdue)
+Test(order_relay, endsTheWaitForAllOrdersOfAHelperOnceOneIsOverdue)
 {
     relay_fixture fixture;
     fixture.helperPaused = true;
@@ -206,7 +209,7 @@
     fixture.relay.poll(poll, [&](const poll_result &, instant) { ++answers; });
     fixture.sendStart();
     fixture.advance(milliseconds(800));
-    cr_assert_eq(fixture.direct.starts.size(), 1U);
+    cr_assert(fixture.outcomes == std::vector<order_status>{ order_status::unknown });
     cr_assert_eq(fixture.direct.polls.size(), 1U);
     fixture.direct.polls[0].second({}, fixture.clock.now());
     fixture.advance(milliseconds(3000));
@@ -214,7 +217,7 @@
     cr_assert_eq(answers, 1);
 }
 
-Test(order_relay, sendsAnOrderOnceThatWaitsForItsBatchWhenTheHelperIsFoundLost)
+Test(order_relay, reportsAnOrderOnceThatWaitsForItsBatchWhenTheHelperIsFoundLost)
 {
     relay_fixture fixture;
     fixture.helperPaused = true;
@@ -224,7 +227,8 @@
     fixture.helperReachable = false;
     fixture.relay.tick(fixture.clock.now() + seconds(1));
     fixture.advance(milliseconds(100));
-    cr_assert_eq(fixture.direct.starts.size(), 2U);
+    cr_assert_eq(fixture.outcomes.size(), 2U);
+    cr_assert(fixture.direct.starts.empty());
     cr_assert_eq(fixture.toHelper.size(), 1U);
 }
 
@@ -267,22 +271,22 @@
     fixture.advance(milliseconds(800));
     fixture.relay.setHelpers({ { HELPER, "a" } });
     fixture.sendStart(2);
-    cr_assert_eq(fixture.direct.starts.size(), 2U);
+    cr_assert_eq(fixture.direct.starts.size(), 1U);
     fixture.advance(milliseconds(2100));
     fixture.relay.setHelpers({ { HELPER, "a" } });
     fixture.sendStart(3);
-    cr_assert_eq(fixture.direct.starts.size(), 2U);
+    cr_assert_eq(fixture.direct.starts.size(), 1U);
 }
 
-Test(order_relay, ignoresAResultThatArrivesAfterTheDirectOrder)
+Test(order_relay, ignoresAResultThatArrivesAfterTheWaitHasEnded)
 {
     relay_fixture fixture;
     fixture.sendStart();
     fixture.advance(milliseconds(800));
-    cr_assert_eq(fixture.direct.starts.size(), 1U);
+    cr_assert_eq(fixture.outcomes.size(), 1U);
     fixture.helperWorkers.starts.at(0).second({ order_status::refused, {}, {} }, fixture.clock.now());
     fixture.advance(milliseconds(50));
-    cr_assert(fixture.outcomes.empty());
+    cr_assert_eq(fixture.outcomes.size(), 1U);
 }
 
 Test(order_relay, sendsRepeatedStartsDirectly)
