--- a/packages/manager/include/jujubespool/manager/order_relay.h
+++ b/packages/manager/include/jujubespool/manager/order_relay.h
@@ -21,6 +21,7 @@
 #include <jujubespool/manager/relay_messages.h>
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <variant>
 
 namespace jujubespool {
--- a/packages/manager/include/jujubespool/manager/relay_executor.h
+++ b/packages/manager/include/jujubespool/manager/relay_executor.h
@@ -1,17 +1,18 @@
 // Sends orders to workers on behalf of the owner, and returns the results.
 //
-//     relay_executor executor(workers, timers, send);
+//     relay_executor executor(workers, timers, log, send);
 //     executor.onOrders(owner, orders, now);      // the results are passed to `send`
 //
 // An order that arrives late may be one that the owner has given up. Therefore a process that was paused declines the
 // orders that it finds when it resumes, and orders of a former owner are declined once a higher epoch is known.
 #pragma once
 
-#include <jujubespool/manager/pause_detector.h>
-#include <jujubespool/manager/relay_messages.h>
-
+#include <algorithm>
 #include <jujubespool/jobs/lifetime.h>
 #include <jujubespool/jobs/timer_service.h>
+#include <jujubespool/manager/pause_detector.h>
+#include <jujubespool/manager/relay_messages.h>
+#include <map>
 
 namespace jujubespool {
 
