--- a/packages/core/include/jujubespool/core/log_replayer.h
+++ b/packages/core/include/jujubespool/core/log_replayer.h
@@ -54,7 +54,8 @@
         return m_state;
     }
 
-    // Offset of the first chunk of the last snapshot that was read completely; 0 when there is none.
+    // Offset of the first record that a reader of the last complete snapshot needs: the log may be truncated up to it. 0 when no
+    // snapshot has been read completely.
     log_offset snapshotOffset() const
     {
         return m_snapshotOffset;
--- a/packages/core/src/log_replayer.cpp
+++ b/packages/core/src/log_replayer.cpp
@@ -1,5 +1,7 @@
 #include <jujubespool/core/log_replayer.h>
 
+#include <algorithm>
+
 namespace jujubespool {
 
 log_replayer::log_replayer(replay_observer &observer)
@@ -64,7 +66,8 @@
     if (chunks.parts.size() < chunks.total) {
         return;
     }
-    m_snapshotOffset = chunks.firstOffset;
+    // Records between the state in the snapshot and its first chunk are not part of the snapshot.
+    m_snapshotOffset = std::min<log_offset>(chunk.next_offset(), chunks.firstOffset);
     const snapshot_chunks complete = std::move(chunks);
     m_incompleteSnapshots.erase(id);
     if (!m_recordsAfterGap.empty() && chunk.next_offset() >= m_recordsAfterGap.front().offset) {
--- a/packages/core/test/fleet_state_test.cpp
+++ b/packages/core/test/fleet_state_test.cpp
@@ -273,6 +273,24 @@
     cr_assert(lateReader.state().serialize() == log.state().serialize(), "expected the late reader's state to equal the first one's");
 }
 
+Test(logReplayer, theSnapshotOffsetIncludesRecordsThatPrecedeTheChunksButNotTheSnapshot)
+{
+    test_log log;
+    log.open(1, "e1", 1);
+    log.publish(1, 0, configText(40, 50, 4));
+    const std::vector<wire::record> snapshot = makeSnapshotRecords(log.state());
+    log.take(1, workerResource("h0"), 8);
+    for (const wire::record &record : snapshot) {
+        log.write(1, record);
+    }
+    test_log lateReader;
+    for (log_offset offset = log.replay().snapshotOffset(); offset < log.records().size(); ++offset) {
+        lateReader.replay().consumeRecord(offset, log.records()[offset]);
+    }
+    cr_assert(lateReader.replay().isCurrent(), "expected the log from the snapshot offset on to be sufficient");
+    cr_assert(lateReader.state().serialize() == log.state().serialize(), "expected the late reader's state to equal the first one's");
+}
+
 Test(logReplayer, anOlderSnapshotDoesNotReplaceTheState)
 {
     test_log log;
--- a/packages/entry/include/jujubespool/entry/fleet_maintenance_controller.h
+++ b/packages/entry/include/jujubespool/entry/fleet_maintenance_controller.h
@@ -23,7 +23,7 @@
 
     void start();
 
-    // Whether this host is the leader now. False while the log is unavailable.
+    // Whether this host is the leader now. False while the log is unavailable or this host misses records of it.
     bool isLeader(instant now) const;
 
 private:
--- a/packages/entry/include/jujubespool/entry/peer_group.h
+++ b/packages/entry/include/jujubespool/entry/peer_group.h
@@ -42,6 +42,8 @@
     // Peers that are neither suspected nor stopping.
     std::vector<session_id> reachablePeers(instant now) const;
     bool isSuspected(session_id peer, instant now) const;
+    // Whether the peer has reported that it misses records of the log and waits for a snapshot.
+    bool missesRecords(session_id peer) const;
     // Host name of the peer, or an empty string if it is unknown.
     std::string hostOf(session_id peer) const;
     std::string dataCenterOf(session_id peer) const;
@@ -64,6 +66,7 @@
         // Run time in microseconds that the peer has reported, by service and team.
         std::map<std::pair<std::string, std::string>, std::uint64_t> chargedRunUs;
         bool isStopping = false;
+        bool missesRecords = false;
         bool isOnLog = false;
     };
 
--- a/packages/entry/src/fleet_maintenance_controller.cpp
+++ b/packages/entry/src/fleet_maintenance_controller.cpp
@@ -37,14 +37,15 @@
 
 bool fleet_maintenance_controller::isLeader(instant now) const
 {
-    if (!m_session.isOpen() || !m_session.isCaughtUp() || !m_session.isLogAvailable(now)) {
+    if (!m_session.isOpen() || !m_session.isCaughtUp() || !m_session.replayer().isCurrent() || !m_session.isLogAvailable(now)) {
         return false;
     }
     for (const session_id id : m_session.state().liveSessions()) {
         if (id == m_session.id()) {
             return true;
         }
-        if (!m_peers.isSuspected(id, now)) {
+        // A host that waits for a snapshot cannot lead, because the leader publishes the snapshots.
+        if (!m_peers.isSuspected(id, now) && !m_peers.missesRecords(id)) {
             return false;
         }
     }
--- a/packages/entry/src/peer_group.cpp
+++ b/packages/entry/src/peer_group.cpp
@@ -124,6 +124,7 @@
     peer_record &peer = findOrAddPeer(from, beat.host(), beat.data_center(), beat.peer_endpoint());
     peer.detector->onHeartbeat(beat.counter(), now);
     peer.isStopping = beat.stopping();
+    peer.missesRecords = beat.misses_records();
     for (const wire::service_time &time : beat.charged()) {
         std::uint64_t &reportedUs = peer.chargedRunUs[{ time.service(), time.team() }];
         if (time.run_us() > reportedUs) {
@@ -181,6 +182,7 @@
     beat.set_counter(++m_heartbeatCounter);
     beat.set_next_offset(m_session.replayer().nextOffset());
     beat.set_stopping(m_stopping);
+    beat.set_misses_records(!m_session.replayer().isCurrent());
     addRunTimeUsage(beat);
     broadcast(message);
     if (!m_session.isCaughtUp()) {
@@ -208,6 +210,12 @@
     return found == m_peers.end() || found->second.detector->suspects(now);
 }
 
+bool peer_group::missesRecords(session_id peer) const
+{
+    const auto found = m_peers.find(peer);
+    return found != m_peers.end() && found->second.missesRecords;
+}
+
 std::string peer_group::hostOf(session_id peer) const
 {
     const auto found = m_peers.find(peer);
