Do not blame a worker for orders that the owner did not send

Each dropped poll was reported as unanswered, so that 723 and 1,100 workers were taken for silent, got no new tasks for up to 6 s after the store was back, and counted as no capacity: pools of 61 and 48 hosts appeared as 4 and 1.

Change: an order that was not sent is reported as withheld. A withheld poll is repeated after 100 ms and says nothing about its worker; a withheld start is released. One log line a second replaces one an order.

Ruled out: cut workers (220 of 1,100 were behind the cut).

--- a/packages/jobs/include/jujubespool/jobs/gateways.h
+++ b/packages/jobs/include/jujubespool/jobs/gateways.h
@@ -121,13 +121,15 @@
     // Another incarnation of the worker answered.
     other_incarnation,
     // No answer: the order may have been carried out, or may be later.
-    unknown
+    unknown,
+    // The order was not sent, because this process may not act at the moment. It says nothing about the worker.
+    withheld
 };
 
 template <> struct enum_names<order_status>
 {
-    static constexpr std::array<std::string_view, 9> NAMES{ "accepted",   "fenced",  "old",        "late",   "no-room",
-                                                            "bad-ticket", "refused", "other-life", "unknown" };
+    static constexpr std::array<std::string_view, 10> NAMES{ "accepted",   "fenced",  "old",        "late",    "no-room",
+                                                             "bad-ticket", "refused", "other-life", "unknown", "withheld" };
 };
 
 struct order_result
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds UNRECORDED_ENDS_POLL_INTERVAL{ 800 };
 // Poll interval for a worker that does not respond.
 constexpr milliseconds UNRESPONSIVE_POLL_INTERVAL{ 300 };
+// Poll interval while this process may not act.
+constexpr milliseconds WITHHELD_POLL_INTERVAL{ 100 };
 // A worker is avoided once runs of this many different jobs have failed there without a successful run in between. A single
 // failing job is not enough, because a job that cannot succeed fails on every worker.
 constexpr std::size_t FAILED_JOBS_BEFORE_AVOID = 2;
@@ -123,6 +125,10 @@
         m_listener.onFenced(now);
         return;
     }
+    if (result.status == order_status::withheld) {
+        target->nextPollAt = now + WITHHELD_POLL_INTERVAL;
+        return;
+    }
     if (result.status != order_status::accepted || (result.startTimeMs != 0 && result.startTimeMs != address.startTimeMs)) {
         onPollFailed(*target, result, now);
         return;
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -130,6 +130,10 @@
         onStartUnanswered(attempt, now);
         return;
     }
+    if (result.status == order_status::withheld) {
+        onStartRejected(attempt, result, now);
+        return;
+    }
     recordResponse(*target, result, now);
     if (result.status == order_status::accepted) {
         run->confirmed = true;
--- a/packages/manager/include/jujubespool/manager/order_relay.h
+++ b/packages/manager/include/jujubespool/manager/order_relay.h
@@ -77,9 +77,10 @@
     // Ends the wait for all orders that the helper has: one that is overdue shows that the helper may be lost.
     void takeBack(std::uint64_t helper, instant now);
     void sendDirectly(pending_order order);
-    // The same if this process may still act; otherwise reports that the result is unknown. Stop orders are always sent.
+    // The same if this process may still act; otherwise reports the order as withheld. Stop orders are always sent. Only for orders that
+    // no helper can have carried out, and for polls.
     void sendLate(pending_order order, instant now);
-    static void reportUnknown(const pending_order &order, instant now);
+    static void report(const pending_order &order, order_status status, instant now);
     void complete(const wire::relayed_result &message, instant now);
 
     worker_gateway &m_direct;
@@ -96,6 +97,8 @@
     std::map<std::uint64_t, wire::relayed_orders> m_batches;
     std::unordered_map<std::uint64_t, pending> m_pending;
     std::set<std::pair<instant, std::uint64_t>> m_deadlines;
+    instant m_withheldLoggedAt;
+    int m_withheldSinceLogged = 0;
     lifetime m_lifetime;
 };
 
--- a/packages/manager/src/order_relay.cpp
+++ b/packages/manager/src/order_relay.cpp
@@ -11,6 +11,7 @@
 // Additional time for the messages to and from the helper.
 constexpr milliseconds RELAY_ALLOWANCE{ 300 };
 constexpr milliseconds HELPER_AVOID_TIME{ 2000 };
+constexpr milliseconds WITHHELD_LOG_INTERVAL{ 1000 };
 
 template <typename... Functions> struct overloaded : Functions...
 {
@@ -134,15 +135,24 @@
         sendDirectly(std::move(order));
         return;
     }
-    m_log.write("late-order-dropped", { { "reason", "the ownership is not confirmed" } });
-    reportUnknown(order, now);
+    ++m_withheldSinceLogged;
+    if (now - m_withheldLoggedAt >= WITHHELD_LOG_INTERVAL) {
+        m_log.write("orders-withheld", { { "orders", std::to_string(m_withheldSinceLogged) }, { "reason", "the ownership is not confirmed" } });
+        m_withheldLoggedAt = now;
+        m_withheldSinceLogged = 0;
+    }
+    report(order, order_status::withheld, now);
 }
 
-void order_relay::reportUnknown(const pending_order &order, instant now)
+void order_relay::report(const pending_order &order, order_status status, instant now)
 {
-    std::visit(overloaded{ [now](const relayed_poll &entry) { entry.done(poll_result(), now); },
-                           [now](const auto &entry) {
-                               entry.done(order_result(), now);
+    std::visit(overloaded{ [&](const relayed_poll &entry) {
+                              poll_result result;
+                              result.status = status;
+                              entry.done(result, now);
+                          },
+                           [&](const auto &entry) {
+                               entry.done({ status, {}, {} }, now);
                            } },
                order);
 }
@@ -201,7 +211,7 @@
     for (const std::uint64_t number : numbers) {
         pending entry = take(number);
         if (std::holds_alternative<relayed_start>(entry.order)) {
-            reportUnknown(entry.order, now);
+            report(entry.order, order_status::unknown, now);
         } else {
             sendLate(std::move(entry.order), now);
         }
--- a/packages/manager/src/relay_messages.cpp
+++ b/packages/manager/src/relay_messages.cpp
@@ -21,7 +21,8 @@
 
 std::optional<order_status> statusOf(const wire::relayed_result &message)
 {
-    if (message.status() >= enum_names<order_status>::NAMES.size()) {
+    // Only the owner itself knows that an order was not sent.
+    if (message.status() >= static_cast<std::uint32_t>(order_status::withheld)) {
         return std::nullopt;
     }
     return static_cast<order_status>(message.status());
