Leave hosts where they are while the store does not answer

Work ended and none could start, so the pool of the busiest queue seemed to need 57 of its 583 hosts. The orders wait for their records: 416 moves to the pool of hosts that are switched off were sent when the store was back, as the callers were.

Change: no moves and no maintenance once an append has had no answer for 700 ms; an order whose record took more than 1.5 s is dropped and decided anew; after a gap in planning no pool shrinks for 1.5 s.

Ruled out: keeping the idle times of hosts only (the offered load is zero after a gap, so that the peak counts as over and hosts go after 0.3 s).

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -89,8 +89,10 @@
     void resolveOrders(instant askedAt, instant now);
     void onOrderResult(const std::string &host, const host_order_result &result, instant now);
     void cordon(const std::string &host, bool cordoned);
-    // Records the order and then sends it, unless the ownership can no longer be confirmed.
-    void sendAfterRecording(const std::string &host, std::function<void()> send);
+    // Records the order and then sends it, unless the ownership can no longer be confirmed or the record took so long that the
+    // decision is out of date.
+    void sendAfterRecording(const std::string &host, std::function<void()> send, instant now);
+    void cancelOrder(const std::string &host, const std::string &reason, instant now);
 
     fleet_model &m_model;
     host_gateway &m_gateway;
--- a/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
@@ -74,7 +74,8 @@
 
     // Records load from before this planner was created, oldest first.
     void recordPastLoad(const std::string &pool, std::int64_t offeredCpuMillis, instant at);
-    // Call regularly: the plan depends on the loads of earlier calls.
+    // Call regularly: the plan depends on the loads of earlier calls. After a gap between two calls no pool
+    // shrinks at first: the callers that were turned away in the gap come back.
     capacity_plan plan(const std::vector<pool_snapshot> &pools, instant now);
     // CPU that the pool should have.
     std::int64_t targetCpuMillis(const std::string &pool) const;
@@ -107,6 +108,7 @@
     peak_forecaster m_forecaster;
     std::map<std::string, pool_history> m_pools;
     instant m_lastPlanAt;
+    instant m_shrinkNotBefore;
     bool m_hadLoad = false;
 };
 
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -14,6 +14,8 @@
 // An order without an answer may still be carried out late. It counts as failed when the list shows no effect for
 // this long.
 constexpr milliseconds UNANSWERED_ORDER_TIMEOUT{ 4000 };
+// The load may have changed entirely by the time that a store which was unavailable has recorded an order.
+constexpr milliseconds MAX_RECORDING_TIME{ 1500 };
 // Largest assumed difference between the clocks of two processes.
 constexpr milliseconds MAX_CLOCK_SKEW{ 500 };
 
@@ -142,11 +144,14 @@
     m_pendingOrders[host] = { pool, now, false, {} };
     cordon(host, true);
     m_nextListAt = std::min(m_nextListAt, now + m_model.bounds().moveTime);
-    sendAfterRecording(host, [this, host, pool] {
-        m_gateway.move({ host, m_holder, m_token }, pool, m_lifetime.guard([this, host](const host_order_result &result, instant then) {
-            onOrderResult(host, result, then);
-        }));
-    });
+    sendAfterRecording(
+        host,
+        [this, host, pool] {
+            m_gateway.move({ host, m_holder, m_token }, pool, m_lifetime.guard([this, host](const host_order_result &result, instant then) {
+                onOrderResult(host, result, then);
+            }));
+        },
+        now);
 }
 
 void host_controller::startMaintenance(const std::string &host, std::uint64_t wave, maintenance_callback done, instant now)
@@ -154,24 +159,34 @@
     m_log.write("upkeep-ordered", { { "wave", std::to_string(wave) }, { "host", host } });
     m_pendingOrders[host] = { {}, now, false, std::move(done) };
     cordon(host, true);
-    sendAfterRecording(host, [this, host, wave] {
-        m_gateway.startMaintenance(
-            { host, m_holder, m_token }, wave,
-            m_lifetime.guard([this, host](const host_order_result &result, instant then) { onOrderResult(host, result, then); }));
-    });
+    sendAfterRecording(
+        host,
+        [this, host, wave] {
+            m_gateway.startMaintenance(
+                { host, m_holder, m_token }, wave,
+                m_lifetime.guard([this, host](const host_order_result &result, instant then) { onOrderResult(host, result, then); }));
+        },
+        now);
 }
 
-void host_controller::sendAfterRecording(const std::string &host, std::function<void()> send)
+void host_controller::sendAfterRecording(const std::string &host, std::function<void()> send, instant now)
 {
-    m_recordOrder(host, m_lifetime.guard([this, host, send = std::move(send)](instant now) {
-        if (isOwnershipConfirmed(now)) {
-            send();
+    m_recordOrder(host, m_lifetime.guard([this, host, send = std::move(send), decidedAt = now](instant recordedAt) {
+        if (!isOwnershipConfirmed(recordedAt)) {
+            cancelOrder(host, "the ownership is not confirmed", recordedAt);
+        } else if (recordedAt - decidedAt > MAX_RECORDING_TIME) {
+            cancelOrder(host, "recording the order took too long", recordedAt);
         } else {
-            onOrderResult(host, { host_order_status::refused, { failure_step::control, host, "the ownership is not confirmed" } }, now);
+            send();
         }
     }));
 }
 
+void host_controller::cancelOrder(const std::string &host, const std::string &reason, instant now)
+{
+    onOrderResult(host, { host_order_status::refused, { failure_step::control, host, reason } }, now);
+}
+
 void host_controller::onOrderResult(const std::string &host, const host_order_result &result, instant now)
 {
     m_log.count("host_orders_total", nameOf(result.status));
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -10,6 +10,9 @@
 
 // Interval at which ended jobs are checked for expiry and scheduling is repeated.
 constexpr seconds EXPIRY_CHECK_INTERVAL{ 1 };
+// If the store has not answered an append for this long, hosts are neither moved nor maintained: each order needs a record, and tasks
+// that lose their host could not be started elsewhere.
+constexpr milliseconds STORE_SILENT_BEFORE_HOSTS_STAY{ 700 };
 
 } // namespace
 
@@ -244,8 +247,10 @@
     }
     if (!m_resigned) {
         m_hostController.refresh(now);
-        m_hostMaintenance.tick(now, wall);
-        m_poolRebalancer.tick(now, wall);
+        if (storeUnresponsiveFor(now) < STORE_SILENT_BEFORE_HOSTS_STAY) {
+            m_hostMaintenance.tick(now, wall);
+            m_poolRebalancer.tick(now, wall);
+        }
     }
     m_runs.tick(now);
     if (now - m_lastExpiryCheck > EXPIRY_CHECK_INTERVAL) {
--- a/packages/jobs/src/pool_capacity_planner.cpp
+++ b/packages/jobs/src/pool_capacity_planner.cpp
@@ -28,6 +28,10 @@
 constexpr milliseconds IDLE_TIME_BEFORE_OFF_AFTER_PEAK{ 300 };
 // How long an overdue peak is still expected.
 constexpr milliseconds LATE_PEAK_TOLERANCE{ 800 };
+// Without a plan for longer than this, the load was not under control, for example because the store did not answer.
+constexpr milliseconds MAX_PLAN_INTERVAL{ 1000 };
+// Time in which the callers that were turned away meanwhile come back; no pool shrinks before.
+constexpr milliseconds CALLERS_RETURN_TIME{ 1500 };
 // Pools vacate hosts only when another pool has less than this share of its target.
 constexpr double VACATE_SUPPLY_RATIO = 0.7;
 
@@ -246,8 +250,15 @@
 
 capacity_plan pool_capacity_planner::plan(const std::vector<pool_snapshot> &pools, instant now)
 {
-    const duration elapsed = m_lastPlanAt == instant() ? duration(0) : now - m_lastPlanAt;
+    duration elapsed = m_lastPlanAt == instant() ? duration(0) : now - m_lastPlanAt;
     m_lastPlanAt = now;
+    if (elapsed > MAX_PLAN_INTERVAL) {
+        m_shrinkNotBefore = now + CALLERS_RETURN_TIME;
+    }
+    const bool mayShrink = now >= m_shrinkNotBefore;
+    if (!mayShrink) {
+        elapsed = duration(0);
+    }
     allocation state;
     for (const pool_snapshot &pool : pools) {
         updateTarget(pool, elapsed, now);
@@ -258,7 +269,9 @@
     if (m_hadLoad) {
         scaleTargetsToCapacity(pools, state);
         fillDeficits(pools, state, plan);
-        switchOffIdleHosts(pools, state, plan, now);
+        if (mayShrink) {
+            switchOffIdleHosts(pools, state, plan, now);
+        }
         chooseHostsToVacate(pools, state, plan);
     }
     return plan;
--- a/packages/jobs/test/pool_capacity_planner_test.cpp
+++ b/packages/jobs/test/pool_capacity_planner_test.cpp
@@ -60,6 +60,11 @@
     {
         return m_pools[pool].usedCpuMillis;
     }
+    // Lets time pass in which the planner is not called.
+    void passUnplanned(duration time)
+    {
+        m_now += time;
+    }
     int hostSteps() const
     {
         return m_hostSteps;
@@ -164,6 +169,19 @@
 }
 
 // Two queues together need more than the whole fleet, one starting after the other: the second must get its share.
+// The callers that were turned away in the gap come back within a second or two.
+Test(pool_capacity_planner, keepsTheHostsOfTheTimeBeforeAGapInPlanning)
+{
+    simulated_fleet fleet(4, 9, 8);
+    fleet.run({ 6, 2, 2, 2 }, seconds(5));
+    fleet.run({ 0, 0, 0, 0 }, milliseconds(900));
+    const int before = fleet.hostsOf(1);
+    cr_assert_geq(before, 6);
+    fleet.passUnplanned(seconds(8));
+    fleet.run({ 0, 0, 0, 0 }, milliseconds(300));
+    cr_assert_eq(fleet.hostsOf(1), before, "%d of %d hosts are left", fleet.hostsOf(1), before);
+}
+
 Test(pool_capacity_planner, dividesATooSmallFleetAmongThePools)
 {
     simulated_fleet fleet(2, 10, 0);
--- a/packages/manager/test/store_outage_test.cpp
+++ b/packages/manager/test/store_outage_test.cpp
@@ -146,3 +146,21 @@
     cr_assert_eq(owner.log.events["worker-silent"], 0, "%s", testCase.name);
     cr_assert(owner.platform.violations().empty());
 }
+
+// During an outage nothing new starts, so the hosts of a busy pool become idle. The callers that were refused come back right after it.
+Test(store_outage, movesNoHostOutOfAPoolWhoseCallersAreTurnedAway)
+{
+    relaying_owner owner({ "w1", "worker-2", "worker-03", "worker-004" }, true);
+    owner.session->setPeerConfirmation([](instant) { return true; });
+    owner.platform.runTime = [](const task_key &) {
+        return milliseconds(400);
+    };
+    owner.submitContinuously("28", seconds(4));
+    const std::size_t before = owner.platform.hostOrders.size();
+    owner.playOutage(seconds(7));
+    owner.platform.advance(milliseconds(500));
+    cr_assert_eq(owner.platform.hostOrders.size(), before, "%zu hosts were moved", owner.platform.hostOrders.size() - before);
+    const int done = owner.platform.doneRuns();
+    owner.submitContinuously("28", milliseconds(2000));
+    cr_assert_geq(owner.platform.doneRuns() - done, 4 * 28, "%d", owner.platform.doneRuns() - done);
+}
