Tell refused callers to wait longer the longer they were refused

Change: the owner remembers when it first refused a call and answers 1, 1, 2, 3, 3 s. Short waits first, because such a job can still be on time. Refusals of the owner's session are logged, which they were not.

Ruled out: the age of the outage as the measure (a caller that comes 3 s into an outage of 4 s would wait 3 s and be late).

--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -12,6 +12,7 @@
 #include <jujubespool/manager/manager_settings.h>
 #include <jujubespool/manager/owner_record_reader.h>
 #include <jujubespool/manager/platform_clients.h>
+#include <jujubespool/manager/retry_backoff.h>
 
 namespace jujubespool {
 
@@ -93,6 +94,7 @@
     void applyOperatorEntry(const ledger_entry &entry, instant now);
     void applyWorkerEntry(const ledger_entry &entry, instant now);
     ledger_entry ownerEntry(bool resigned) const;
+    void refuse(const http_call &call, const std::string &reason, instant now, const http_reply_callback &reply);
 
     platform_clients m_clients;
     timer_service &m_timers;
@@ -123,6 +125,7 @@
     std::map<std::string, worker_report> m_reports;
     std::unique_ptr<job_manager> m_manager;
     std::unique_ptr<job_api_handler> m_apiHandler;
+    retry_backoff m_retryBackoff;
     lifetime m_lifetime;
 };
 
--- a/packages/manager/src/order_relay.cpp
+++ b/packages/manager/src/order_relay.cpp
@@ -137,7 +137,8 @@
     }
     ++m_withheldSinceLogged;
     if (now - m_withheldLoggedAt >= WITHHELD_LOG_INTERVAL) {
-        m_log.write("orders-withheld", { { "orders", std::to_string(m_withheldSinceLogged) }, { "reason", "the ownership is not confirmed" } });
+        m_log.write("orders-withheld",
+                    { { "orders", std::to_string(m_withheldSinceLogged) }, { "reason", "the ownership is not confirmed" } });
         m_withheldLoggedAt = now;
         m_withheldSinceLogged = 0;
     }
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -23,7 +23,6 @@
 constexpr milliseconds NOT_FOUND_UNRELIABLE_AFTER{ 600 };
 constexpr int STATUS_UNAVAILABLE = 503;
 constexpr int STATUS_GONE = 410;
-constexpr unsigned RETRY_AFTER_S = 1;
 constexpr std::uint64_t CLAIM_SEQUENCE_COUNT = 1ULL << 40;
 // Name in the ledger key of the current owner.
 const std::string OWNER_NAME = "current";
@@ -241,19 +240,32 @@
     const bool ownershipUncertain = now - m_manager->lastDurableAt() > OWNERSHIP_UNCERTAIN_AFTER && !m_confirmedByPeers(now);
     if (ownershipUncertain || (writes && m_manager->storeUnresponsiveFor(now) > STORE_SILENT_BEFORE_REFUSAL)) {
         // Another process may have become the owner, or the change cannot be recorded.
-        reply({ STATUS_UNAVAILABLE, m_clients.codec.errorBody("the store does not answer"), "application/json", RETRY_AFTER_S });
+        refuse(call, "the store does not answer", now, reply);
         return;
     }
     const bool notFoundUnreliable = now - m_manager->lastDurableAt() > NOT_FOUND_UNRELIABLE_AFTER;
-    m_apiHandler->handle(call, now, m_wallClock(), [this, notFoundUnreliable, reply](const http_reply &answer) {
+    m_apiHandler->handle(call, now, m_wallClock(), [this, call, now, notFoundUnreliable, reply](const http_reply &answer) {
         if (notFoundUnreliable && answer.status == STATUS_GONE) {
-            reply({ STATUS_UNAVAILABLE, m_clients.codec.errorBody("the job may be known elsewhere"), "application/json", RETRY_AFTER_S });
+            refuse(call, "the job may be known elsewhere", now, reply);
         } else {
             reply(answer);
         }
     });
 }
 
+void owner_session::refuse(const http_call &call, const std::string &reason, instant now, const http_reply_callback &reply)
+{
+    const std::string name = call.method + " " + call.path;
+    const unsigned retryAfterS = m_retryBackoff.retryAfterS(name, now);
+    m_log.write("refused",
+                { { "call", name },
+                  { "status", std::to_string(STATUS_UNAVAILABLE) },
+                  { "reason", reason },
+                  { "retry_after_s", std::to_string(retryAfterS) } });
+    m_log.count("refusals_total", std::to_string(STATUS_UNAVAILABLE));
+    reply({ STATUS_UNAVAILABLE, m_clients.codec.errorBody(reason), "application/json", retryAfterS });
+}
+
 void owner_session::tick(instant now)
 {
     if (!m_active) {
