Let two thirds of the candidates confirm an owner without the store

Cause: without the store an owner renewed leases only while every other process denied to own the jobs. Besides, a denial counted from its arrival: an owner that was paused for seconds found old denials in its sockets and would have renewed leases that its successor had given up.

Heartbeats return the owner's time of sending; a third of the candidates may be missing; 10 s at most; a successor waits for workers that it cannot reach until no renewal is possible; a later epoch in any heartbeat ends an ownership.

Ruled out: counting the candidates that answer only (a successor behind a partition would start tasks that still run; the new test of ownership shows two concurrent runs without the wait).

Tests: ownership (2 new; both fail without the wait of the successor, with concurrent runs), peer_tracker (2 new, 7 rows). The fixture of ownership says that peers know of a take-over, which the tests there assumed. Refusals in an outage are logged; the longer waits are no longer used.

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -34,10 +34,13 @@
     seconds statusRetention{ 120 };
 };
 
-// An owner that has had no durable ledger append for this long may have been replaced, unless all peers confirm that
-// they have not taken over. It then starts nothing and renews no lease. A new owner also waits this long before it
-// treats runs on unreachable workers as expired.
+// An owner that has had no durable ledger append for this long may have been replaced, unless its peers confirm its ownership. It then
+// starts nothing and renews no lease. A new owner also waits this long before it treats runs on unreachable workers as expired.
 constexpr milliseconds SELF_FENCE_TIMEOUT{ 2000 };
+// Without a durable append for this long, the ownership counts as lost even if the peers confirm it.
+constexpr milliseconds MAX_TIME_WITHOUT_RECORD{ 10000 };
+// How long a peer's confirmation of the ownership is valid, from the time at which the owner sent what the peer answers.
+constexpr milliseconds PEER_CONFIRMATION_VALIDITY{ 1200 };
 
 // Lowest rate of a worker's clock relative to the clock of this process.
 constexpr double MIN_WORKER_CLOCK_RATE = 0.98;
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -67,14 +67,21 @@
     {
         m_onOwnershipLost = std::move(call);
     }
-    // Sets the check that is used while the store does not respond. It returns true if all other processes report that they do
-    // not own the jobs.
+    // Sets the check that is used while the store does not respond: whether enough peers confirm this ownership.
     void setPeerConfirmation(std::function<bool(instant now)> confirmed)
     {
         m_confirmedByPeers = std::move(confirmed);
     }
-    // Whether no other process can own the jobs: a record was durable recently, or all other processes deny it.
+    // Sets the check whether so many peers know of this ownership that they can no longer confirm an earlier one.
+    void setTakeOverCheck(std::function<bool()> known)
+    {
+        m_takeOverKnown = std::move(known);
+    }
+    // Whether this process may renew leases: a record was durable recently, or the peers confirm the ownership. A later owner treats no
+    // run on a worker that it cannot reach as expired before that has ended.
     bool isOwnershipConfirmed(instant now) const override;
+    // Whether the leases that earlier owners may have renewed have expired.
+    bool formerLeasesExpired(instant now) const override;
     // Writes the ownership record again, which shows the other processes that this owner is alive.
     void renewOwnership(const ledger_entry &record, instant now);
     instant lastDurableAt() const
@@ -97,6 +104,7 @@
     void onFenced(instant now) override;
     void onBadTicket(const task_key &key, const std::string &workerId) override;
     wall_ms wallNow() const override;
+    void noteTakeOver(instant now);
     void processChanges(instant now);
     void schedule(instant now);
     void writeChanged();
@@ -128,6 +136,12 @@
     std::function<bool(instant now)> m_confirmedByPeers = [](instant) {
         return false;
     };
+    std::function<bool()> m_takeOverKnown = [] {
+        return false;
+    };
+    // Latest time at which an earlier owner can renew a lease.
+    instant m_formerRenewalsEnd;
+    bool m_takeOverAcknowledged = false;
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/include/jujubespool/jobs/peak_forecaster.h
+++ b/packages/jobs/include/jujubespool/jobs/peak_forecaster.h
@@ -30,6 +30,8 @@
     // Returns the next peak that is not overdue, if the last peaks were regular.
     std::optional<expected_peak> nextPeak(instant now) const;
     bool hadPeak(const std::string &pool) const;
+    // The pool has had one peak, the present or last one.
+    bool isFirstPeak(const std::string &pool) const;
     // The pool's peak has started so recently that its load is still growing.
     bool isRising(const std::string &pool, instant now) const;
     // The pool's load has fallen far below its peak.
--- a/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
@@ -97,6 +97,8 @@
         std::map<std::string, bool> moved;
     };
     void updateTarget(const pool_snapshot &pool, duration elapsed, instant now);
+    // Estimate of the first peak of a pool, rarely too high; 0 if no other pool has had a peak.
+    double smallestPeakOfOthers(const std::string &pool) const;
     void raiseTargetForNextPeak(instant now);
     void scaleTargetsToCapacity(const std::vector<pool_snapshot> &pools, const allocation &state);
     void fillDeficits(const std::vector<pool_snapshot> &pools, allocation &state, capacity_plan &plan);
--- a/packages/jobs/include/jujubespool/jobs/run_supervisor.h
+++ b/packages/jobs/include/jujubespool/jobs/run_supervisor.h
@@ -30,6 +30,8 @@
     virtual wall_ms wallNow() const = 0;
     // False when another process may have become the owner without this process having been informed.
     virtual bool isOwnershipConfirmed(instant now) const = 0;
+    // False while a lease that a former owner has renewed may be valid on a worker which has not accepted this owner's fencing token.
+    virtual bool formerLeasesExpired(instant now) const = 0;
 };
 
 // Initial time for which a worker gets no new tasks after it refused an order or did not respond. It doubles each time.
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -47,9 +47,12 @@
     const auto ownerEntry = std::find_if(entries.begin(), entries.end(),
                                          [](const auto &entry) { return parseLedgerKey(entry.first).kind == ledger_kind::owner; });
     wire::owner_image lastOwner;
-    const bool resigned = ownerEntry != entries.end() && lastOwner.ParseFromString(ownerEntry->second) && lastOwner.resigned();
-    // A former owner that lost its connection to the store may have renewed leases for up to SELF_FENCE_TIMEOUT after its last record.
-    const instant leaseEnd = now + m_model.leaseExpiryBound() + (resigned ? milliseconds(0) : SELF_FENCE_TIMEOUT);
+    const bool ended = ownerEntry != entries.end() && lastOwner.ParseFromString(ownerEntry->second) && lastOwner.resigned()
+        && lastOwner.predecessors_ended();
+    // A former owner that lost its connection to the store may renew leases for up to SELF_FENCE_TIMEOUT after its last record, and for
+    // longer if the peers confirm its ownership.
+    const instant leaseEnd = now + m_model.leaseExpiryBound() + (ended ? milliseconds(0) : SELF_FENCE_TIMEOUT);
+    m_formerRenewalsEnd = now + (ended ? milliseconds(0) : MAX_TIME_WITHOUT_RECORD);
     for (const auto &[key, value] : entries) {
         const ledger_key parsed = parseLedgerKey(key);
         wire::job_image image;
@@ -239,6 +242,7 @@
     if (m_ownershipLost) {
         return;
     }
+    noteTakeOver(now);
     for (const auto &[id, active] : m_model.activeJobs()) {
         if (active->isRecurring() && active->addDueOccurrences(wall)) {
             m_model.markChanged(id);
@@ -383,7 +387,24 @@
 
 bool job_manager::isOwnershipConfirmed(instant now) const
 {
-    return now - m_writer.lastDurableAt() < SELF_FENCE_TIMEOUT || m_confirmedByPeers(now);
+    const duration unrecorded = now - m_writer.lastDurableAt();
+    return unrecorded < SELF_FENCE_TIMEOUT || (unrecorded < MAX_TIME_WITHOUT_RECORD && m_confirmedByPeers(now));
+}
+
+// Peers that know of this ownership confirm no earlier one from now on.
+void job_manager::noteTakeOver(instant now)
+{
+    if (m_takeOverAcknowledged || !m_takeOverKnown()) {
+        return;
+    }
+    m_takeOverAcknowledged = true;
+    m_formerRenewalsEnd = std::min(m_formerRenewalsEnd, now + PEER_CONFIRMATION_VALIDITY);
+    m_log.write("take-over-acknowledged", { { "live_jobs", std::to_string(m_model.activeJobs().size()) } });
+}
+
+bool job_manager::formerLeasesExpired(instant now) const
+{
+    return now >= m_formerRenewalsEnd + m_model.leaseExpiryBound();
 }
 
 wall_ms job_manager::wallNow() const
--- a/packages/jobs/src/peak_forecaster.cpp
+++ b/packages/jobs/src/peak_forecaster.cpp
@@ -62,6 +62,11 @@
     return std::any_of(m_peaks.begin(), m_peaks.end(), [&pool](const peak_start &peak) { return peak.pool == pool; });
 }
 
+bool peak_forecaster::isFirstPeak(const std::string &pool) const
+{
+    return std::count_if(m_peaks.begin(), m_peaks.end(), [&pool](const peak_start &peak) { return peak.pool == pool; }) == 1;
+}
+
 bool peak_forecaster::isRising(const std::string &pool, instant now) const
 {
     return !m_peaks.empty() && m_peaks.back().pool == pool && now - m_peaks.back().at < RISE_DURATION;
--- a/packages/jobs/src/pool_capacity_planner.cpp
+++ b/packages/jobs/src/pool_capacity_planner.cpp
@@ -97,6 +97,9 @@
     if (rising && need > history.peakCpuMillis * RISE_RATIO) {
         target = std::max(target, history.peakCpuMillis * PROVISIONED_PEAK_RATIO * HEADROOM_FACTOR);
     }
+    if (m_forecaster.isFirstPeak(pool.name) && m_forecaster.isRising(pool.name, now)) {
+        target = std::max(target, smallestPeakOfOthers(pool.name) * PROVISIONED_PEAK_RATIO * HEADROOM_FACTOR);
+    }
     history.targetCpuMillis = static_cast<std::int64_t>(target);
     if (pool.maintenanceCpuMillis > 0) {
         // The present hosts may be full of long-running tasks, so only additional hosts help.
@@ -113,6 +116,17 @@
     history.freeSince = std::move(freeSince);
 }
 
+double pool_capacity_planner::smallestPeakOfOthers(const std::string &pool) const
+{
+    double smallest = 0;
+    for (const auto &[name, history] : m_pools) {
+        if (name != pool && m_forecaster.hadPeak(name)) {
+            smallest = smallest > 0 ? std::min(smallest, history.peakCpuMillis) : history.peakCpuMillis;
+        }
+    }
+    return smallest;
+}
+
 void pool_capacity_planner::raiseTargetForNextPeak(instant now)
 {
     const std::optional<expected_peak> peak = m_forecaster.nextPeak(now);
@@ -121,14 +135,7 @@
     }
     double provisioned = m_pools[peak->pool].peakCpuMillis;
     if (!m_forecaster.hadPeak(peak->pool)) {
-        // Before a pool's first peak, the smallest peak of the other pools is used as an estimate; it is rarely too
-        // high.
-        provisioned = 0;
-        for (const auto &[name, history] : m_pools) {
-            if (m_forecaster.hadPeak(name)) {
-                provisioned = provisioned > 0 ? std::min(provisioned, history.peakCpuMillis) : history.peakCpuMillis;
-            }
-        }
+        provisioned = smallestPeakOfOthers(peak->pool);
     }
     std::int64_t &target = m_pools[peak->pool].targetCpuMillis;
     target = std::max(target, static_cast<std::int64_t>(provisioned * PROVISIONED_PEAK_RATIO * HEADROOM_FACTOR));
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -81,7 +81,8 @@
         if (!target.pollInFlight && now >= target.nextPollAt && needsPoll(target)) {
             poll(target, now);
         }
-        if (!target.runs.empty() && now >= target.leaseEnd && target.leaseEnd != instant()) {
+        const bool mayExpire = target.polled || m_listener.formerLeasesExpired(now);
+        if (!target.runs.empty() && now >= target.leaseEnd && target.leaseEnd != instant() && mayExpire) {
             expireLeases(target, now);
         }
     }
--- a/packages/jobs/test/pool_capacity_planner_test.cpp
+++ b/packages/jobs/test/pool_capacity_planner_test.cpp
@@ -246,3 +246,17 @@
     fleet.run({ 3, 2, 2, 2 }, milliseconds(1650));
     cr_assert_geq(fleet.hostsOf(1), 24, "%d", fleet.hostsOf(1));
 }
+
+// The queues peak in rotation, so the first peak of one will be about as high as those that others have had.
+Test(pool_capacity_planner, provisionsForAFirstPeakLikeThoseOfOtherPools)
+{
+    simulated_fleet fleet(4, 6, 30);
+    fleet.run({ 2, 2, 2, 2 }, seconds(6));
+    fleet.offer(1, 24);
+    fleet.run({ 24, 2, 2, 2 }, seconds(6));
+    fleet.offer(1, 1);
+    fleet.run({ 2, 2, 2, 2 }, seconds(4));
+    fleet.offer(2, 7);
+    fleet.run({ 2, 6, 2, 2 }, milliseconds(1650));
+    cr_assert_geq(fleet.hostsOf(2), 20, "%d", fleet.hostsOf(2));
+}
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -98,6 +98,9 @@
     http_listener m_metricsListener;
     std::unique_ptr<owner_session> m_session;
     std::uint64_t m_knownOwner = 0;
+    // The owner's time of sending of the last heartbeat received from it, on its own clock.
+    std::uint64_t m_ownerSentUs = 0;
+    instant m_startedAt;
     instant m_lastHeartbeat;
     instant m_lastHeartbeatToOthers;
     instant m_lastServingAt;
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -12,7 +12,6 @@
 #include <jujubespool/manager/manager_settings.h>
 #include <jujubespool/manager/owner_record_reader.h>
 #include <jujubespool/manager/platform_clients.h>
-#include <jujubespool/manager/retry_backoff.h>
 
 namespace jujubespool {
 
@@ -46,6 +45,11 @@
     {
         m_confirmedByPeers = std::move(confirmed);
     }
+    // See job_manager::setTakeOverCheck().
+    void setTakeOverCheck(std::function<bool()> known)
+    {
+        m_takeOverKnown = std::move(known);
+    }
     // Ends the session without any further event; used before the session is destroyed.
     void deactivate()
     {
@@ -93,8 +97,11 @@
     void failClaim(const std::string &cause, instant now);
     void applyOperatorEntry(const ledger_entry &entry, instant now);
     void applyWorkerEntry(const ledger_entry &entry, instant now);
-    ledger_entry ownerEntry(bool resigned) const;
-    void refuse(const http_call &call, const std::string &reason, instant now, const http_reply_callback &reply);
+    ledger_entry ownerEntry() const;
+    ledger_entry resignedEntry(instant now) const;
+    static ledger_entry entryOf(const wire::owner_image &image);
+    wire::owner_image ownerImage() const;
+    void refuse(const http_call &call, const std::string &reason, const http_reply_callback &reply);
 
     platform_clients m_clients;
     timer_service &m_timers;
@@ -106,6 +113,9 @@
     std::function<bool(instant now)> m_confirmedByPeers = [](instant) {
         return false;
     };
+    std::function<bool()> m_takeOverKnown = [] {
+        return false;
+    };
     owner_record_reader m_ownerRecordReader;
     feed_watcher m_operators;
     feed_watcher m_workers;
@@ -125,7 +135,6 @@
     std::map<std::string, worker_report> m_reports;
     std::unique_ptr<job_manager> m_manager;
     std::unique_ptr<job_api_handler> m_apiHandler;
-    retry_backoff m_retryBackoff;
     lifetime m_lifetime;
 };
 
--- a/packages/manager/include/jujubespool/manager/peer_tracker.h
+++ b/packages/manager/include/jujubespool/manager/peer_tracker.h
@@ -9,12 +9,24 @@
 // connection is opened when the first message is sent to a process, and closed when it has not been used for some time.
 #pragma once
 
+#include <functional>
 #include <jujubespool/manager/relay_helper.h>
 #include <jujubespool/wire/peer_transport.h>
 #include <unordered_map>
 
 namespace jujubespool {
 
+// What a process that does not own the jobs says in its heartbeat.
+struct peer_statement
+{
+    // Highest epoch that the process knows.
+    std::uint64_t epoch = 0;
+    // When the owner of that epoch sent the last heartbeat that the process has received; empty if there was none.
+    std::optional<instant> ownerSentAt;
+    // The process is about to end.
+    bool stopping = false;
+};
+
 class peer_tracker
 {
 public:
@@ -27,12 +39,14 @@
     bool isForThisProcess(const wire::peer_message &message) const;
     // Records that a message from the process was received.
     void recordMessage(std::uint64_t incarnation, instant now);
-    // Records that the process stated that it does not own the jobs, and whether it is about to end.
-    void recordNotOwner(std::uint64_t incarnation, bool stopping, instant now);
+    void recordStatement(std::uint64_t incarnation, const peer_statement &statement);
     // The candidates that can send orders on behalf of this process: those that are alive and have enough capacity.
     std::vector<relay_helper> relayHelpers(instant now) const;
-    // Whether every other process has recently stated that it does not own the jobs.
-    bool allPeersDenyOwnership(instant now) const;
+    // Whether two thirds of the candidates confirm that they know this process as the owner of the epoch and none later. The age of a
+    // confirmation counts from the heartbeat that it answers, so a message that was delayed or that waited through a pause proves nothing.
+    bool confirmOwnership(std::uint64_t epoch, instant now) const;
+    // Whether most candidates know of this epoch, so that no owner before it can be confirmed any more.
+    bool mostCandidatesKnow(std::uint64_t epoch) const;
     // Whether the process is one of the candidates for the ownership: those on the hosts with the most capacity.
     bool isCandidate(std::uint64_t incarnation) const;
     // Sends the message to all other candidates, or to all processes that are not candidates.
@@ -59,10 +73,8 @@
         instant addedAt;
         instant lastMessageAt;
         bool messageReceived = false;
-        std::optional<instant> notOwnerAt;
+        peer_statement statement;
         bool candidate = false;
-        // The process is about to end.
-        bool stopping = false;
         // Time of the last message to the process; empty while there is no connection to it.
         std::optional<instant> lastUsedAt;
     };
@@ -71,6 +83,8 @@
     bool isAlive(const member &entry, instant now) const;
     static bool isPreferredOwner(const wire::member_image &left, const wire::member_image &right);
     void chooseCandidates();
+    // Whether at least this share of the candidates, including this process, satisfies the condition.
+    bool shareOfCandidates(double share, const std::function<bool(const member &)> &condition) const;
     void sendToAll(bool candidates, wire::peer_message message, instant now);
     void connect(member &entry, instant now);
 
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -24,9 +24,22 @@
 constexpr milliseconds NOT_SERVING_BEFORE_UNREADY{ 700 };
 // A process on a host with much more capacity requests a handover after it has received the owner's heartbeats for this long.
 constexpr milliseconds HANDOVER_REQUEST_DELAY{ 1500 };
+// A process that has been restarted confirms no owner before a later one, which it may have known, could have reached it again.
+constexpr milliseconds MIN_AGE_TO_CONFIRM{ 3000 };
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
 
+peer_statement statementOf(const wire::member_beat &heartbeat)
+{
+    peer_statement statement;
+    statement.epoch = heartbeat.epoch();
+    statement.stopping = heartbeat.stopping();
+    if (heartbeat.owner_sent_us() != 0) {
+        statement.ownerSentAt = instant(microseconds(heartbeat.owner_sent_us()));
+    }
+    return statement;
+}
+
 } // namespace
 
 manager_process::manager_process(event_loop &loop, const manager_settings &settings, const platform_clients &clients, event_logger &log,
@@ -65,6 +78,7 @@
     if (!m_link.bind(fmt::format("tcp://{}:{}", m_settings.ip, m_settings.peerPort), reason.reason) || !listen(reason)) {
         return false;
     }
+    m_startedAt = m_loop.now();
     registerMember();
     m_memberWatcher.start(
         [this](const ledger_entry &entry, instant now) {
@@ -165,6 +179,7 @@
     wire::member_beat &body = *message.mutable_member();
     body.set_epoch(m_session->epoch());
     body.set_owner_incarnation(m_identity.incarnation);
+    body.set_owner_sent_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
     body.set_store_silent_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(m_session->storeUnresponsiveFor(now)).count()));
     m_peers.sendToCandidates(message, now);
     if (now - m_lastHeartbeatToOthers >= OWNER_HEARTBEAT_INTERVAL_TO_OTHERS) {
@@ -181,6 +196,9 @@
     body.set_epoch(m_election.epoch());
     body.set_suspects_owner(!m_stopping && m_election.suspectsOwner(now));
     body.set_stopping(m_stopping);
+    if (now - m_startedAt >= MIN_AGE_TO_CONFIRM) {
+        body.set_owner_sent_us(m_ownerSentUs);
+    }
     const bool candidate = m_peers.isCandidate(m_identity.incarnation);
     if (candidate) {
         m_peers.sendToCandidates(message, now);
@@ -238,17 +256,19 @@
         m_election.recordPeer(from, heartbeat.suspects_owner(), now);
     }
     m_relayExecutor.recordEpoch(heartbeat.epoch());
-    if (heartbeat.owner_incarnation() == 0) {
-        m_peers.recordNotOwner(from, heartbeat.stopping(), now);
-        return;
-    }
     if (owns() && heartbeat.epoch() > m_session->epoch()) {
+        // A later owner exists, whoever reports it.
         onSessionEvent(session_event::lost, now);
     }
+    if (heartbeat.owner_incarnation() == 0) {
+        m_peers.recordStatement(from, statementOf(heartbeat));
+        return;
+    }
     if (owns() || heartbeat.epoch() < m_election.epoch()) {
         return;
     }
     m_election.recordHeartbeat(heartbeat.epoch(), milliseconds(heartbeat.store_silent_ms()), now);
+    m_ownerSentUs = heartbeat.owner_sent_us();
     if (milliseconds(heartbeat.store_silent_ms()) < OWNER_STORE_TIMEOUT) {
         m_ownerEpochRead.reset();
     }
@@ -353,7 +373,8 @@
     const platform_clients clients{ m_clients.ledger, m_clients.feeds,      m_relay,        m_clients.hosts,
                                     m_clients.policy, m_clients.waveStatus, m_clients.codec };
     m_session = std::make_unique<owner_session>(clients, m_timers, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
-    m_session->setPeerConfirmation([this](instant then) { return m_peers.allPeersDenyOwnership(then); });
+    m_session->setPeerConfirmation([this](instant then) { return owns() && m_peers.confirmOwnership(m_session->epoch(), then); });
+    m_session->setTakeOverCheck([this] { return owns() && m_peers.mostCandidatesKnow(m_session->epoch()); });
     m_session->begin([this](session_event event, instant then) { onSessionEvent(event, then); },
                      std::exchange(m_ownerEpochRead, std::nullopt));
 }
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds NOT_FOUND_UNRELIABLE_AFTER{ 600 };
 constexpr int STATUS_UNAVAILABLE = 503;
 constexpr int STATUS_GONE = 410;
+constexpr unsigned RETRY_AFTER_S = 1;
 constexpr std::uint64_t CLAIM_SEQUENCE_COUNT = 1ULL << 40;
 // Name in the ledger key of the current owner.
 const std::string OWNER_NAME = "current";
@@ -145,16 +146,33 @@
     }));
 }
 
-ledger_entry owner_session::ownerEntry(bool resigned) const
+wire::owner_image owner_session::ownerImage() const
 {
     wire::owner_image image;
     image.set_node(m_identity.node);
     image.set_incarnation(m_identity.incarnation);
     image.set_epoch(m_epoch);
-    image.set_resigned(resigned);
+    return image;
+}
+
+ledger_entry owner_session::entryOf(const wire::owner_image &image)
+{
     return { ledgerKey(ledger_kind::owner, OWNER_NAME), image.SerializeAsString() };
 }
 
+ledger_entry owner_session::ownerEntry() const
+{
+    return entryOf(ownerImage());
+}
+
+ledger_entry owner_session::resignedEntry(instant now) const
+{
+    wire::owner_image image = ownerImage();
+    image.set_resigned(true);
+    image.set_predecessors_ended(m_manager->formerLeasesExpired(now));
+    return entryOf(image);
+}
+
 // The store identifies an append by its epoch and sequence number alone, and answers a repeat with the first result.
 // Two processes that claim the same epoch must therefore use different sequence numbers.
 std::uint64_t owner_session::claimSequence() const
@@ -176,7 +194,7 @@
     }
     m_epoch = previousOwner.epoch() + 1;
     ++m_claimAttempts;
-    const ledger_append call{ m_epoch, claimSequence(), m_ledgerEnd, { ownerEntry(false) }, CLAIM_TIMEOUT };
+    const ledger_append call{ m_epoch, claimSequence(), m_ledgerEnd, { ownerEntry() }, CLAIM_TIMEOUT };
     m_clients.ledger.append(call, m_lifetime.guard([this](const ledger_append_result &outcome, instant now) { onClaim(outcome, now); }));
 }
 
@@ -201,6 +219,7 @@
                                               ownership{ m_settings.node, m_epoch, claimSequence() });
     m_apiHandler = std::make_unique<job_api_handler>(*m_manager, m_clients.codec, m_log);
     m_manager->setPeerConfirmation(m_confirmedByPeers);
+    m_manager->setTakeOverCheck(m_takeOverKnown);
     m_manager->onOwnershipLost([this](instant then) {
         m_active = false;
         if (!m_ended) {
@@ -240,30 +259,25 @@
     const bool ownershipUncertain = now - m_manager->lastDurableAt() > OWNERSHIP_UNCERTAIN_AFTER && !m_confirmedByPeers(now);
     if (ownershipUncertain || (writes && m_manager->storeUnresponsiveFor(now) > STORE_SILENT_BEFORE_REFUSAL)) {
         // Another process may have become the owner, or the change cannot be recorded.
-        refuse(call, "the store does not answer", now, reply);
+        refuse(call, "the store does not answer", reply);
         return;
     }
     const bool notFoundUnreliable = now - m_manager->lastDurableAt() > NOT_FOUND_UNRELIABLE_AFTER;
-    m_apiHandler->handle(call, now, m_wallClock(), [this, call, now, notFoundUnreliable, reply](const http_reply &answer) {
+    m_apiHandler->handle(call, now, m_wallClock(), [this, call, notFoundUnreliable, reply](const http_reply &answer) {
         if (notFoundUnreliable && answer.status == STATUS_GONE) {
-            refuse(call, "the job may be known elsewhere", now, reply);
+            refuse(call, "the job may be known elsewhere", reply);
         } else {
             reply(answer);
         }
     });
 }
 
-void owner_session::refuse(const http_call &call, const std::string &reason, instant now, const http_reply_callback &reply)
+void owner_session::refuse(const http_call &call, const std::string &reason, const http_reply_callback &reply)
 {
-    const std::string name = call.method + " " + call.path;
-    const unsigned retryAfterS = m_retryBackoff.retryAfterS(name, now);
     m_log.write("refused",
-                { { "call", name },
-                  { "status", std::to_string(STATUS_UNAVAILABLE) },
-                  { "reason", reason },
-                  { "retry_after_s", std::to_string(retryAfterS) } });
+                { { "call", call.method + " " + call.path }, { "status", std::to_string(STATUS_UNAVAILABLE) }, { "reason", reason } });
     m_log.count("refusals_total", std::to_string(STATUS_UNAVAILABLE));
-    reply({ STATUS_UNAVAILABLE, m_clients.codec.errorBody(reason), "application/json", retryAfterS });
+    reply({ STATUS_UNAVAILABLE, m_clients.codec.errorBody(reason), "application/json", RETRY_AFTER_S });
 }
 
 void owner_session::tick(instant now)
@@ -274,14 +288,14 @@
     m_manager->tick(now, m_wallClock());
     if (!m_resigning && now - m_lastRenewal >= OWNER_RENEWAL_INTERVAL) {
         m_lastRenewal = now;
-        m_manager->renewOwnership(ownerEntry(false), now);
+        m_manager->renewOwnership(ownerEntry(), now);
     }
 }
 
 void owner_session::resign(std::function<void(instant now)> done, instant now)
 {
     m_resigning = true;
-    m_manager->renewOwnership(ownerEntry(true), now);
+    m_manager->renewOwnership(resignedEntry(now), now);
     m_manager->resign(std::move(done), now);
 }
 
--- a/packages/manager/src/peer_tracker.cpp
+++ b/packages/manager/src/peer_tracker.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/manager/peer_tracker.h>
 
 #include <algorithm>
+#include <jujubespool/jobs/fleet_model.h>
 #include <jujubespool/jobs/owner_election.h>
 #include <tuple>
 
@@ -8,8 +9,10 @@
 
 namespace {
 
-// Validity of a peer's statement that it does not own the jobs; well below the self-fence timeout.
-constexpr milliseconds NOT_OWNER_VALIDITY{ 1200 };
+// Shares of the candidates that confirm an ownership, and that must know of a later one to exclude this. They add up to more than one,
+// so that some candidate belongs to both, even if the two owners know slightly different candidates.
+constexpr double CONFIRMING_SHARE = 2.0 / 3;
+constexpr double KNOWING_SHARE = 0.5;
 // Ratio of CPU or network capacity from which a change of owner is worthwhile.
 constexpr double MUCH_MORE_CAPACITY_FACTOR = 1.5;
 // A host with less CPU than this share of the strongest host's serves callers only.
@@ -86,12 +89,11 @@
     }
 }
 
-void peer_tracker::recordNotOwner(std::uint64_t incarnation, bool stopping, instant now)
+void peer_tracker::recordStatement(std::uint64_t incarnation, const peer_statement &statement)
 {
     member *entry = find(incarnation);
     if (entry != nullptr) {
-        entry->notOwnerAt = now;
-        entry->stopping = stopping;
+        entry->statement = statement;
     }
 }
 
@@ -103,7 +105,7 @@
     }
     std::vector<relay_helper> helpers;
     for (const auto &[node, entry] : m_members) {
-        const bool alive = entry.messageReceived && isAlive(entry, now) && !entry.stopping;
+        const bool alive = entry.messageReceived && isAlive(entry, now) && !entry.statement.stopping;
         const bool hasCapacity = entry.image.cpu_share_percent() >= MIN_HELPER_CPU_RATIO * mostCpu;
         if (entry.candidate && alive && hasCapacity && entry.image.incarnation() != m_self) {
             helpers.push_back({ entry.image.incarnation(), entry.image.data_center() });
@@ -112,14 +114,32 @@
     return helpers;
 }
 
-bool peer_tracker::allPeersDenyOwnership(instant now) const
+bool peer_tracker::shareOfCandidates(double share, const std::function<bool(const member &)> &condition) const
 {
-    return std::all_of(m_members.begin(), m_members.end(), [&](const auto &listed) {
-        const member &entry = listed.second;
-        return entry.image.incarnation() == m_self || (entry.notOwnerAt && now - *entry.notOwnerAt < NOT_OWNER_VALIDITY);
+    int candidates = 0;
+    int matching = 0;
+    for (const auto &[node, entry] : m_members) {
+        if (entry.candidate) {
+            ++candidates;
+            matching += entry.image.incarnation() == m_self || condition(entry) ? 1 : 0;
+        }
+    }
+    return candidates > 0 && matching >= share * candidates;
+}
+
+bool peer_tracker::confirmOwnership(std::uint64_t epoch, instant now) const
+{
+    return shareOfCandidates(CONFIRMING_SHARE, [&](const member &entry) {
+        const std::optional<instant> &sentAt = entry.statement.ownerSentAt;
+        return entry.statement.epoch == epoch && sentAt && now - *sentAt < PEER_CONFIRMATION_VALIDITY;
     });
 }
 
+bool peer_tracker::mostCandidatesKnow(std::uint64_t epoch) const
+{
+    return shareOfCandidates(KNOWING_SHARE, [&](const member &entry) { return entry.statement.epoch >= epoch; });
+}
+
 bool peer_tracker::isCandidate(std::uint64_t incarnation) const
 {
     const member *entry = find(incarnation);
--- a/packages/manager/test/maintenance_test.cpp
+++ b/packages/manager/test/maintenance_test.cpp
@@ -33,6 +33,10 @@
     {
         return true;
     }
+    bool formerLeasesExpired(instant) const override
+    {
+        return true;
+    }
 };
 
 // Two hosts. One is due for maintenance and runs a long-running task that may be unavailable for a while.
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -41,6 +41,7 @@
         settings.node = process;
         sessions[process] = std::make_unique<owner_session>(platform.clientsOf(process), platform, log, settings,
                                                             process_identity{ process, incarnation }, [this] { return platform.wall(); });
+        sessions[process]->setTakeOverCheck([this] { return takeOverIsKnown; });
         sessions[process]->begin([this, process](session_event event, instant) { events[process].push_back(event); }, ownerEpochSeen);
         scheduleTicks(process);
         return *sessions[process];
@@ -71,6 +72,8 @@
     std::map<std::string, std::unique_ptr<owner_session>> sessions;
     std::map<std::string, std::vector<session_event>> events;
     std::set<std::string> suspended;
+    // Whether most candidates know of a take-over as soon as it has happened.
+    bool takeOverIsKnown = true;
 };
 
 struct fault_row
@@ -202,6 +205,52 @@
     cr_assert_eq(fleet.platform.runningTasks(), 4);
 }
 
+// The same if the peers of the former owner confirm its ownership, because they do not know of the successor: it is on the smaller side of
+// a partition.
+Test(ownership, taskDoesNotRunTwiceWhilePeersConfirmTheFormerOwner)
+{
+    fleet_fixture fleet;
+    fleet.platform.runTime = [](const task_key &) {
+        return seconds(60);
+    };
+    fleet.takeOverIsKnown = false;
+    fleet.begin("entry-1", 11).setPeerConfirmation([](instant) { return true; });
+    fleet.platform.advance(milliseconds(500));
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
+    const std::string busy = fleet.platform.workerNamed("w1").running.empty() ? "worker-2" : "w1";
+    fleet.platform.linksOf("entry-1").storeDown = true;
+    fleet.platform.linksOf("entry-2").unreachableWorkers.insert(busy);
+    fleet.begin("entry-2", 22);
+    fleet.platform.advance(seconds(30));
+    cr_assert(fleet.platform.violations().empty(), "%s", fleet.platform.violations().empty() ? "" : fleet.platform.violations()[0].c_str());
+    cr_assert_eq(fleet.platform.runningTasks(), 4);
+}
+
+// The peers of the former owner hear of the successor after a while, and from then on do not confirm the former owner.
+Test(ownership, tasksRestartSoonOnceMostPeersKnowOfTheTakeOver)
+{
+    fleet_fixture fleet;
+    fleet.platform.runTime = [](const task_key &) {
+        return seconds(600);
+    };
+    fleet.takeOverIsKnown = false;
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
+    const std::string busy = fleet.platform.workerNamed("w1").running.empty() ? "worker-2" : "w1";
+    fleet.platform.workerNamed(busy).alive = false;
+    fleet.platform.workerNamed(busy).running.clear();
+    fleet.platform.clearRunningOn(busy);
+    fleet.suspended.insert("entry-1");
+    fleet.begin("entry-2", 22);
+    fleet.platform.advance(seconds(6));
+    cr_assert_eq(fleet.platform.runningTasks(), 0);
+    fleet.takeOverIsKnown = true;
+    fleet.platform.advance(seconds(5));
+    cr_assert_eq(fleet.platform.runningTasks(), 4);
+    cr_assert(fleet.platform.violations().empty());
+}
+
 ParameterizedTestParameters(ownership, completesEveryTaskExactlyOnceUnderFaults)
 {
     return rowsOf(FAULTS);
--- a/packages/manager/test/peer_tracker_test.cpp
+++ b/packages/manager/test/peer_tracker_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 #include <jujubespool/jobs/owner_election.h>
 #include <jujubespool/manager/peer_tracker.h>
+#include <jujubespool/testing/table.h>
 
 namespace {
 
@@ -167,3 +168,61 @@
     cr_assert_not(restartedProcess.isForThisProcess(message));
     cr_assert(restartedProcess.isForThisProcess({}));
 }
+
+// Nine candidates, of which this process is one. The others answer the owner's heartbeat of this time.
+struct confirmation_row
+{
+    const char *name;
+    int answering;
+    milliseconds age;
+    std::uint64_t epochOfOne;
+    bool confirmed;
+};
+
+constexpr std::uint64_t OWN_EPOCH = 4;
+
+const confirmation_row CONFIRMATIONS[] = {
+    { "all answer", 8, milliseconds(300), OWN_EPOCH, true },
+    { "a third does not answer", 5, milliseconds(300), OWN_EPOCH, true },
+    { "more than a third does not answer", 4, milliseconds(300), OWN_EPOCH, false },
+    { "one of the necessary ones knows a later owner", 5, milliseconds(300), OWN_EPOCH + 1, false },
+    { "one of the necessary ones knows this owner not yet", 5, milliseconds(300), OWN_EPOCH - 1, false },
+    { "all answers were sent long ago and have waited through a pause", 8, milliseconds(5000), OWN_EPOCH, false },
+};
+
+ParameterizedTestParameters(peer_tracker, confirmsAnOwnershipWithoutTheStore)
+{
+    return rowsOf(CONFIRMATIONS);
+}
+
+ParameterizedTest(std::size_t *row, peer_tracker, confirmsAnOwnershipWithoutTheStore)
+{
+    const confirmation_row &testCase = CONFIRMATIONS[*row];
+    tracker_fixture fixture;
+    for (std::uint64_t incarnation = 1; incarnation <= 9; ++incarnation) {
+        fixture.add(incarnation, 50, 200);
+    }
+    const instant now = START + seconds(20);
+    for (int i = 0; i < testCase.answering; ++i) {
+        const auto peer = static_cast<std::uint64_t>(i + 2);
+        fixture.peers.recordMessage(peer, now);
+        fixture.peers.recordStatement(peer, { i == 0 ? testCase.epochOfOne : OWN_EPOCH, now - testCase.age, false });
+    }
+    cr_assert_eq(fixture.peers.confirmOwnership(OWN_EPOCH, now), testCase.confirmed, "%s", testCase.name);
+}
+
+// If most candidates know the later owner, too few are left to confirm an earlier one.
+Test(peer_tracker, knowsWhenNoEarlierOwnerCanBeConfirmed)
+{
+    tracker_fixture fixture;
+    for (std::uint64_t incarnation = 1; incarnation <= 9; ++incarnation) {
+        fixture.add(incarnation, 50, 200);
+        fixture.peers.recordStatement(incarnation, { OWN_EPOCH - 1, START, false });
+    }
+    for (std::uint64_t peer = 2; peer <= 4; ++peer) {
+        fixture.peers.recordStatement(peer, { OWN_EPOCH, START, false });
+    }
+    cr_assert_not(fixture.peers.mostCandidatesKnow(OWN_EPOCH));
+    fixture.peers.recordStatement(5, { OWN_EPOCH + 1, START, false });
+    cr_assert(fixture.peers.mostCandidatesKnow(OWN_EPOCH));
+}
