Write a few lines of each event however many others there are

An operator who follows OPERATIONS.md from a failed request finds no ownership line there.

Change: beyond the maximum a second, up to 20 lines of each event are still written. The volume stays bounded.

--- a/packages/manager/include/jujubespool/manager/event_logger.h
+++ b/packages/manager/include/jujubespool/manager/event_logger.h
@@ -3,11 +3,13 @@
 //     event_logger log(processMetrics);
 //     log.write("start", { { "task", key.text() } });
 //
-// The log rate is limited: lines beyond the maximum per second are dropped, and the number of dropped lines is logged.
+// The log rate is limited: lines beyond the maximum per second are dropped, and the number of dropped lines is logged. A few lines of each
+// event are written all the same, so that a flood of one event hides no change of the ownership.
 #pragma once
 
 #include <jujubespool/entry/metrics_registry.h>
 #include <jujubespool/jobs/gateways.h>
+#include <map>
 
 namespace jujubespool {
 
@@ -23,9 +25,14 @@
     void tick(instant now);
 
 private:
+    // Whether a line of this event may be written although the maximum is reached.
+    bool takeReserved(std::string_view event);
+
     metrics_registry &m_metrics;
     instant m_secondStart;
     int m_linesThisSecond = 0;
+    // Number of lines beyond the maximum in this second, by event.
+    std::map<std::string, int> m_reservedUsed;
     std::uint64_t m_dropped = 0;
 };
 
--- a/packages/manager/src/event_logger.cpp
+++ b/packages/manager/src/event_logger.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int MAX_LINES_PER_S = 2000;
+// Lines of each event that are written beyond that maximum.
+constexpr int RESERVED_LINES_PER_EVENT = 20;
 
 } // namespace
 
@@ -17,7 +19,7 @@
 
 void event_logger::write(std::string_view event, std::initializer_list<field> fields)
 {
-    if (++m_linesThisSecond > MAX_LINES_PER_S) {
+    if (++m_linesThisSecond > MAX_LINES_PER_S && !takeReserved(event)) {
         ++m_dropped;
         return;
     }
@@ -29,6 +31,12 @@
     logEvent(log_level::info, event, logFields);
 }
 
+bool event_logger::takeReserved(std::string_view event)
+{
+    const auto position = m_reservedUsed.try_emplace(std::string(event), 0).first;
+    return ++position->second <= RESERVED_LINES_PER_EVENT;
+}
+
 void event_logger::count(std::string_view counter, std::string_view label)
 {
     m_metrics.increment(std::string(counter), "kind", std::string(label));
@@ -44,6 +52,7 @@
     if (now - m_secondStart >= seconds(1)) {
         m_secondStart = now;
         m_linesThisSecond = 0;
+        m_reservedUsed.clear();
         if (m_dropped > 0) {
             logEvent(log_level::warning, "log-lines-dropped", { { "lines", std::to_string(std::exchange(m_dropped, 0)) } });
         }
