Count running late work like waiting late work when pools are planned

Change: work of late jobs counts 0.3, whether it waits or runs. The target matters only where another pool is short of hosts, and they are handed over as their tasks end.

Test: takesHostsFromLateWorkForWorkThatCanBeOnTime, fails before.

--- a/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
@@ -40,8 +40,9 @@
     // Hosts that are moving to this pool.
     int arriving = 0;
     std::int64_t arrivingCpuMillis = 0;
-    // CPU in use.
+    // CPU in use, and the part of it that runs tasks of jobs that cannot be on time any more.
     std::int64_t usedCpuMillis = 0;
+    std::int64_t lateUsedCpuMillis = 0;
     // CPU that waiting tasks need: those of jobs that can be on time, and those of jobs that cannot.
     std::int64_t waitingCpuMillis = 0;
     std::int64_t lateCpuMillis = 0;
--- a/packages/jobs/include/jujubespool/jobs/pool_rebalancer.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_rebalancer.h
@@ -42,8 +42,9 @@
 struct pool_demand
 {
     std::int64_t onTimeCpuMillis = 0;
-    // Ready tasks of jobs that can no longer be on time.
+    // Ready tasks, and running tasks, of jobs that can no longer be on time.
     std::int64_t lateCpuMillis = 0;
+    std::int64_t lateUsedCpuMillis = 0;
     // CPU that recently submitted work keeps busy, by its own estimate.
     std::int64_t offeredCpuMillis = 0;
 };
--- a/packages/jobs/src/pool_capacity_planner.cpp
+++ b/packages/jobs/src/pool_capacity_planner.cpp
@@ -10,7 +10,7 @@
 
 // Capacity beyond the need: tasks do not fill hosts without gaps, and a rise is detected late.
 constexpr double HEADROOM_FACTOR = 1.2;
-// Late work counts with this weight, so that it is completed eventually.
+// Work of jobs that cannot be on time counts with this weight, so that it is completed eventually.
 constexpr double LATE_WORK_RATIO = 0.3;
 // Half-life of the recorded peak.
 constexpr double PEAK_HALF_LIFE_S = 30;
@@ -84,8 +84,11 @@
     if (!pool.standby) {
         m_forecaster.recordLoad(pool.name, pool.offeredCpuMillis, now);
     }
-    const double backlog
-        = static_cast<double>(pool.usedCpuMillis + pool.waitingCpuMillis) + LATE_WORK_RATIO * static_cast<double>(pool.lateCpuMillis);
+    // Late work fills all hosts that it gets, so it counts alike whether it runs or waits. Otherwise its pool would keep them while
+    // work that can still be on time waits in another one.
+    const std::int64_t onTime = pool.usedCpuMillis - pool.lateUsedCpuMillis + pool.waitingCpuMillis;
+    const std::int64_t late = pool.lateUsedCpuMillis + pool.lateCpuMillis;
+    const double backlog = static_cast<double>(onTime) + LATE_WORK_RATIO * static_cast<double>(late);
     const double growth = m_forecaster.isRising(pool.name, now) ? RISE_GROWTH_FACTOR : 1;
     const double need = std::max(backlog, growth * static_cast<double>(pool.offeredCpuMillis));
     const bool rising = need > history.recentNeedCpuMillis;
--- a/packages/jobs/src/pool_rebalancer.cpp
+++ b/packages/jobs/src/pool_rebalancer.cpp
@@ -64,7 +64,12 @@
             offeredCpuMillis = takeWithinLimit(team->second.limit.cpuMillis, offeredCpuMillis, offeredByTeam[team->first]);
         }
         pool_demand &load = demand[queue->pool];
-        (rankOf(activeJob, *queue, wall).late ? load.lateCpuMillis : load.onTimeCpuMillis) += waitingCpuMillis;
+        if (rankOf(activeJob, *queue, wall).late) {
+            load.lateCpuMillis += waitingCpuMillis;
+            load.lateUsedCpuMillis += activeJob.demand().usedMillis;
+        } else {
+            load.onTimeCpuMillis += waitingCpuMillis;
+        }
         load.offeredCpuMillis += offeredCpuMillis;
     }
     return demand;
@@ -111,18 +116,20 @@
 
 void pool_rebalancer::addLoad(std::map<std::string, pool_snapshot> &pools, wall_ms wall) const
 {
+    for (const auto &[id, target] : m_model.workers().all()) {
+        const auto found = pools.find(target.report.pool);
+        if (found != pools.end()) {
+            found->second.usedCpuMillis += target.used.cpuMillis;
+        }
+    }
     for (const auto &[pool, load] : demandByPool(m_model, wall)) {
         const auto found = pools.find(pool);
         if (found != pools.end()) {
             found->second.waitingCpuMillis = load.onTimeCpuMillis;
             found->second.lateCpuMillis = load.lateCpuMillis;
             found->second.offeredCpuMillis = load.offeredCpuMillis;
-        }
-    }
-    for (const auto &[id, target] : m_model.workers().all()) {
-        const auto found = pools.find(target.report.pool);
-        if (found != pools.end()) {
-            found->second.usedCpuMillis += target.used.cpuMillis;
+            // Tasks of a queue that has changed its pool still run on workers of the former one.
+            found->second.lateUsedCpuMillis = std::min(load.lateUsedCpuMillis, found->second.usedCpuMillis);
         }
     }
 }
@@ -188,6 +195,7 @@
                       { "free", std::to_string(free) },
                       { "arriving", std::to_string(pool.arriving) },
                       { "used_cores", std::to_string(pool.usedCpuMillis / CPU_MILLIS_PER_CORE) },
+                      { "late_used_cores", std::to_string(pool.lateUsedCpuMillis / CPU_MILLIS_PER_CORE) },
                       { "waiting_cores", std::to_string(pool.waitingCpuMillis / CPU_MILLIS_PER_CORE) },
                       { "offered_cores", std::to_string(pool.offeredCpuMillis / CPU_MILLIS_PER_CORE) },
                       { "late_cores", std::to_string(pool.lateCpuMillis / CPU_MILLIS_PER_CORE) },
--- a/packages/jobs/test/pool_capacity_planner_test.cpp
+++ b/packages/jobs/test/pool_capacity_planner_test.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 #include <jujubespool/jobs/pool_capacity_planner.h>
 #include <jujubespool/testing/table.h>
+#include <utility>
 
 namespace {
 
@@ -16,10 +17,10 @@
 public:
     simulated_fleet(int poolCount, int hostsEach, int hostsOff)
     {
-        m_pools.push_back({ "off", true, {}, 0, 0, 0, 0, 0, 0, 0 });
+        m_pools.push_back({ "off", true, {}, 0, 0, 0, 0, 0, 0, 0, 0 });
         addHosts(m_pools[0], hostsOff);
         for (int i = 0; i < poolCount; ++i) {
-            m_pools.push_back({ "pool-" + std::to_string(i), false, {}, 0, 0, 0, 0, 0, 0, 0 });
+            m_pools.push_back({ "pool-" + std::to_string(i), false, {}, 0, 0, 0, 0, 0, 0, 0, 0 });
             addHosts(m_pools.back(), hostsEach);
         }
     }
@@ -32,6 +33,10 @@
             arrive();
             for (std::size_t i = 1; i < m_pools.size(); ++i) {
                 load(m_pools[i], hostsNeeded[i - 1] * HOST_CPU_MILLIS);
+                if (m_late[i]) {
+                    m_pools[i].lateUsedCpuMillis = m_pools[i].usedCpuMillis;
+                    m_pools[i].lateCpuMillis = std::exchange(m_pools[i].waitingCpuMillis, 0);
+                }
             }
             carryOut(m_planner.plan(m_pools, m_now));
             for (std::size_t i = 1; i < m_pools.size(); ++i) {
@@ -60,6 +65,11 @@
     {
         return m_pools[pool].usedCpuMillis;
     }
+    // All work of the pool is of jobs that cannot be on time any more.
+    void setLate(std::size_t pool, bool late)
+    {
+        m_late[pool] = late;
+    }
     // Lets time pass in which the planner is not called.
     void passUnplanned(duration time)
     {
@@ -135,6 +145,7 @@
     std::vector<pool_snapshot> m_pools;
     std::vector<std::pair<instant, host_move>> m_movesInFlight;
     std::map<std::string, bool> m_hostsToVacate;
+    std::map<std::size_t, bool> m_late;
     instant m_now{ seconds(100) };
     int m_nextHost = 0;
     int m_hostSteps = 0;
@@ -260,3 +271,16 @@
     fleet.run({ 2, 6, 2, 2 }, milliseconds(1650));
     cr_assert_geq(fleet.hostsOf(2), 20, "%d", fleet.hostsOf(2));
 }
+
+// After an overload a pool is full of late work. Another pool whose work can be on time must not wait until that is done.
+Test(pool_capacity_planner, takesHostsFromLateWorkForWorkThatCanBeOnTime)
+{
+    simulated_fleet fleet(2, 18, 0);
+    fleet.run({ 30, 2 }, seconds(6));
+    fleet.setLate(1, true);
+    fleet.run({ 60, 2 }, seconds(3));
+    cr_assert_geq(fleet.hostsOf(1), 28, "%d", fleet.hostsOf(1));
+    fleet.run({ 60, 20 }, milliseconds(4500));
+    cr_assert_geq(fleet.servedCpuMillis(2), 18 * HOST_CPU_MILLIS, "%d hosts", static_cast<int>(fleet.servedCpuMillis(2) / HOST_CPU_MILLIS));
+    cr_assert_geq(fleet.hostsOf(1), 10, "%d", fleet.hostsOf(1));
+}
