Let the next owner read the store before it may claim

Of that time 0.45 s pass until the owner is suspected, 0.6 s more until its ledger counts as idle, 0.12 s since the dead owner itself counts as first in the order of claims, 0.2 to 0.4 s for reading the store.

Change: candidates read the ledger's end from 0.25 s of silence on, each 0.15 s; the suspected owner is left out of the order; the first in the order reads the store meanwhile (owner_session::prepare) and claims when the same conditions as before permit it. The conditions are unchanged.

Ruled out: shorter timeouts (a slow store or a busy owner would then be taken for a lost one); reading by all candidates (16 times the ledger).

Tests: owner_election claimsSoonAfterTheLastHeartbeat (fails before), expectsToClaim; peer_tracker, ownership (2).

A report of a later epoch ends an ownership only if a member sends it.

--- a/packages/jobs/include/jujubespool/jobs/owner_election.h
+++ b/packages/jobs/include/jujubespool/jobs/owner_election.h
@@ -35,7 +35,10 @@
 // The same when the owner itself reports that the store does not answer it.
 constexpr milliseconds LEDGER_IDLE_TIMEOUT_REPORTED{ 300 };
 constexpr milliseconds OWNER_RENEWAL_INTERVAL{ 400 };
-constexpr milliseconds LEDGER_READ_INTERVAL{ 250 };
+constexpr milliseconds LEDGER_READ_INTERVAL{ 150 };
+// A candidate starts to read the ledger when no heartbeat has arrived for this long, so that it knows for how long the ledger has been
+// unchanged by the time that it suspects the owner.
+constexpr milliseconds LEDGER_READ_AFTER{ 250 };
 // Each rank delays its claim by this much more, so that claims rarely collide.
 constexpr milliseconds RANK_DELAY{ 120 };
 // Without heartbeats for this long, an owner may be replaced by a majority even though it still writes to the ledger.
@@ -74,11 +77,16 @@
     {
         return m_epoch;
     }
+    // Whether this process will probably claim soon: it is the first in rank, and the ledger of the suspected owner has not grown since an
+    // earlier read.
+    bool expectsToClaim(instant now) const;
     // Returns what the process should do now. Call at short, regular intervals.
     election_action next(instant now);
 
 private:
     bool majoritySuspects(instant now) const;
+    // Whether the state of the ledger and the heartbeats permit a claim.
+    bool mayClaim(instant now) const;
     duration claimDelay() const;
 
     std::optional<int> m_rank;
--- a/packages/jobs/src/owner_election.cpp
+++ b/packages/jobs/src/owner_election.cpp
@@ -6,6 +6,8 @@
 
 // A process that has lost its ownership leaves claims to others for this long.
 constexpr milliseconds CLAIM_PAUSE_AFTER_LOSS{ 1500 };
+// Longer than the interval between two reads and their duration.
+constexpr milliseconds LEDGER_ANSWER_VALIDITY{ 400 };
 
 } // namespace
 
@@ -82,6 +84,29 @@
     return responsive > 2 && suspecting * 2 > static_cast<int>(m_peers.size()) + 1;
 }
 
+bool owner_election::mayClaim(instant now) const
+{
+    if (!m_ledgerEnd) {
+        return false;
+    }
+    if (m_unowned && now - m_ledgerEndSince >= claimDelay()) {
+        return true;
+    }
+    const duration unchangedFor = m_ledgerAnsweredAt - m_ledgerEndSince;
+    const milliseconds minUnchanged = receivesHeartbeats(now) ? LEDGER_IDLE_TIMEOUT_REPORTED : LEDGER_IDLE_TIMEOUT;
+    if (unchangedFor >= minUnchanged + claimDelay()) {
+        return true;
+    }
+    const bool heartbeatsMissing = !m_lastHeartbeat || now - *m_lastHeartbeat >= MAJORITY_SUSPICION_TIMEOUT + claimDelay();
+    return heartbeatsMissing && now - m_startedAt >= MAJORITY_SUSPICION_TIMEOUT && majoritySuspects(now);
+}
+
+bool owner_election::expectsToClaim(instant now) const
+{
+    const bool storeAnswers = m_ledgerEnd && now - m_ledgerAnsweredAt < LEDGER_ANSWER_VALIDITY;
+    return m_rank == 0 && now >= m_notBefore && suspectsOwner(now) && storeAnswers && m_ledgerAnsweredAt > m_ledgerEndSince;
+}
+
 election_action owner_election::next(instant now)
 {
     if (!m_started) {
@@ -91,24 +116,17 @@
     if (m_handoverRequested && now >= m_notBefore) {
         return election_action::claim;
     }
-    if (!suspectsOwner(now) || now < m_notBefore || (!m_rank && now - m_startedAt < UNRANKED_CLAIM_DELAY)) {
+    if (now < m_notBefore || (!m_rank && now - m_startedAt < UNRANKED_CLAIM_DELAY)) {
         return election_action::none;
     }
-    if (m_ledgerEnd) {
-        const duration unchangedFor = m_ledgerAnsweredAt - m_ledgerEndSince;
-        if (m_unowned && now - m_ledgerEndSince >= claimDelay()) {
-            return election_action::claim;
-        }
-        const milliseconds minUnchanged = receivesHeartbeats(now) ? LEDGER_IDLE_TIMEOUT_REPORTED : LEDGER_IDLE_TIMEOUT;
-        if (unchangedFor >= minUnchanged + claimDelay()) {
-            return election_action::claim;
-        }
-        const bool heartbeatsMissing = !m_lastHeartbeat || now - *m_lastHeartbeat >= MAJORITY_SUSPICION_TIMEOUT + claimDelay();
-        if (heartbeatsMissing && now - m_startedAt >= MAJORITY_SUSPICION_TIMEOUT && majoritySuspects(now)) {
-            return election_action::claim;
-        }
+    if (suspectsOwner(now) && mayClaim(now)) {
+        return election_action::claim;
     }
     const bool candidate = m_rank.value_or(0) < MAX_CANDIDATES;
+    const bool heartbeatLate = !m_lastHeartbeat || now - *m_lastHeartbeat >= LEDGER_READ_AFTER;
+    if (!suspectsOwner(now) && !(candidate && heartbeatLate)) {
+        return election_action::none;
+    }
     if (now - m_ledgerReadAt >= (candidate ? LEDGER_READ_INTERVAL : BACKUP_LEDGER_READ_INTERVAL)) {
         m_ledgerReadAt = now;
         return election_action::read_ledger;
--- a/packages/jobs/test/owner_election_test.cpp
+++ b/packages/jobs/test/owner_election_test.cpp
@@ -31,6 +31,11 @@
         return std::nullopt;
     }
 
+    instant now() const
+    {
+        return m_now;
+    }
+
     owner_election election;
     bool sendsHeartbeats = false;
     std::optional<milliseconds> storeUnresponsive;
@@ -77,6 +82,38 @@
     cr_assert(claimed && *claimed <= milliseconds(1600), "%ld", claimed ? static_cast<long>(claimed->count()) : -1L);
 }
 
+// All callers wait until the owner is replaced.
+Test(owner_election, claimsSoonAfterTheLastHeartbeat)
+{
+    process first;
+    first.election.setRank(0);
+    first.sendsHeartbeats = true;
+    cr_assert_not(first.claimsWithin(seconds(3)).has_value());
+    first.sendsHeartbeats = false;
+    const auto claimed = first.claimsWithin(seconds(3));
+    cr_assert(claimed && *claimed <= milliseconds(900), "%ld", claimed ? static_cast<long>(claimed->count()) : -1L);
+}
+
+// Reading the whole store is worthwhile only for a process that can claim within a moment.
+Test(owner_election, expectsToClaimOnlyWhileTheStoreAnswersAndTheLedgerIsIdle)
+{
+    process first;
+    first.election.setRank(0);
+    first.sendsHeartbeats = true;
+    first.claimsWithin(seconds(1));
+    cr_assert_not(first.election.expectsToClaim(first.now()));
+    first.sendsHeartbeats = false;
+    cr_assert_not(first.claimsWithin(milliseconds(600)).has_value());
+    cr_assert(first.election.expectsToClaim(first.now()));
+    first.ledgerAnswers = false;
+    first.claimsWithin(milliseconds(500));
+    cr_assert_not(first.election.expectsToClaim(first.now()));
+    process second;
+    second.election.setRank(1);
+    second.claimsWithin(milliseconds(600));
+    cr_assert_not(second.election.expectsToClaim(second.now()));
+}
+
 struct no_claim_row
 {
     const char *name;
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -63,6 +63,9 @@
     // from the owner.
     bool canServe(instant now) const;
     void readLedgerEnd();
+    // Position of this process among those that may claim now.
+    std::optional<int> claimRank(instant now) const;
+    void createSession();
     void beginClaim(instant now);
     // Requests the ownership from an owner whose host has much less capacity.
     void requestHandover(instant now);
@@ -106,6 +109,8 @@
     instant m_lastServingAt;
     bool m_stopping = false;
     bool m_handedOver = false;
+    // The session reads the store, because this process expects to claim.
+    bool m_preparing = false;
     // The session is handing the ownership over.
     bool m_resigning = false;
     // Start of the delay before the next handover request: when heartbeats from an owner on a host with much less
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -40,6 +40,11 @@
     // shows a later owner than the one of `ownerEpochSeen`, on which the decision to claim was based; without it, the session
     // reads the present owner first.
     void begin(event_callback onEvent, std::optional<std::uint64_t> ownerEpochSeen = std::nullopt);
+    // Starts to read the store like begin(), but claims only after allowClaim(). A process that expects to replace the owner saves the time
+    // for reading.
+    void prepare(event_callback onEvent);
+    // Claims the ownership, based on the present end of the ledger. See begin() for `ownerEpochSeen`.
+    void allowClaim(std::optional<std::uint64_t> ownerEpochSeen);
     // See job_manager::setPeerConfirmation().
     void setPeerConfirmation(std::function<bool(instant now)> confirmed)
     {
@@ -126,6 +131,9 @@
     std::optional<std::uint64_t> m_ownerEpochSeen;
     std::uint64_t m_epoch = 0;
     int m_claimAttempts = 0;
+    bool m_claimAllowed = true;
+    // The store has been read, and the claim is not allowed yet.
+    bool m_readyToClaim = false;
     bool m_active = false;
     bool m_ended = false;
     bool m_resigning = false;
--- a/packages/manager/include/jujubespool/manager/peer_tracker.h
+++ b/packages/manager/include/jujubespool/manager/peer_tracker.h
@@ -47,6 +47,11 @@
     bool confirmOwnership(std::uint64_t epoch, instant now) const;
     // Whether most candidates know of this epoch, so that no owner before it can be confirmed any more.
     bool mostCandidatesKnow(std::uint64_t epoch) const;
+    // Whether the process is listed as a member.
+    bool isMember(std::uint64_t incarnation) const
+    {
+        return find(incarnation) != nullptr;
+    }
     // Whether the process is one of the candidates for the ownership: those on the hosts with the most capacity.
     bool isCandidate(std::uint64_t incarnation) const;
     // Sends the message to all other candidates, or to all processes that are not candidates.
@@ -59,8 +64,9 @@
     // Closes the connections that have not been used for some time.
     void closeUnusedConnections(instant now);
     // Position of this process in the order in which processes claim the ownership, from 0. Candidates come first, and
-    // those from which no messages arrive are not counted. Empty until this process is listed among the members.
-    std::optional<int> rank(instant now) const;
+    // those from which no messages arrive are not counted, nor is an owner that is suspected (0 if there is none). Empty until this process
+    // is listed among the members.
+    std::optional<int> rank(instant now, std::uint64_t suspectedOwner = 0) const;
     // Whether the host of `process` has much more CPU or network capacity than the host of `other`.
     bool hasMuchMoreCapacity(std::uint64_t process, std::uint64_t other) const;
     // The live process that is best suited as the next owner; 0 if there is none.
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -256,8 +256,9 @@
         m_election.recordPeer(from, heartbeat.suspects_owner(), now);
     }
     m_relayExecutor.recordEpoch(heartbeat.epoch());
-    if (owns() && heartbeat.epoch() > m_session->epoch()) {
-        // A later owner exists, whoever reports it.
+    const bool credible = heartbeat.owner_incarnation() != 0 || m_peers.isMember(from);
+    if (owns() && credible && heartbeat.epoch() > m_session->epoch()) {
+        // A later owner exists, whichever member reports it.
         onSessionEvent(session_event::lost, now);
     }
     if (heartbeat.owner_incarnation() == 0) {
@@ -281,13 +282,13 @@
 
 void manager_process::runElection(instant now)
 {
-    if (m_session) {
+    if (m_session && !m_preparing) {
         return;
     }
     if (!m_election.receivesHeartbeats(now)) {
         m_router.setOwner(0, now);
     }
-    const std::optional<int> rank = m_peers.rank(now);
+    const std::optional<int> rank = claimRank(now);
     m_election.setRank(rank);
     if (rank == 0 && m_peers.hasMuchMoreCapacity(m_identity.incarnation, m_knownOwner)) {
         requestHandover(now);
@@ -300,7 +301,15 @@
         break;
     case election_action::claim:
         beginClaim(now);
-        break;
+        return;
+    }
+    if (m_preparing && !m_election.suspectsOwner(now)) {
+        m_log.write("claim-abandoned", { { "epoch_known", std::to_string(m_election.epoch()) } });
+        discardSession(now);
+    } else if (!m_session && m_election.expectsToClaim(now)) {
+        createSession();
+        m_preparing = true;
+        m_session->prepare([this](session_event event, instant then) { onSessionEvent(event, then); });
     }
 }
 
@@ -365,18 +374,34 @@
     });
 }
 
-void manager_process::beginClaim(instant now)
+std::optional<int> manager_process::claimRank(instant now) const
+{
+    return m_peers.rank(now, m_election.suspectsOwner(now) ? m_knownOwner : 0);
+}
+
+void manager_process::createSession()
 {
-    m_peers.connectAll(now);
-    m_log.write("claim-begun",
-                { { "epoch_known", std::to_string(m_election.epoch()) }, { "rank", std::to_string(m_peers.rank(now).value_or(-1)) } });
     const platform_clients clients{ m_clients.ledger, m_clients.feeds,      m_relay,        m_clients.hosts,
                                     m_clients.policy, m_clients.waveStatus, m_clients.codec };
     m_session = std::make_unique<owner_session>(clients, m_timers, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
     m_session->setPeerConfirmation([this](instant then) { return owns() && m_peers.confirmOwnership(m_session->epoch(), then); });
     m_session->setTakeOverCheck([this] { return owns() && m_peers.mostCandidatesKnow(m_session->epoch()); });
-    m_session->begin([this](session_event event, instant then) { onSessionEvent(event, then); },
-                     std::exchange(m_ownerEpochRead, std::nullopt));
+}
+
+void manager_process::beginClaim(instant now)
+{
+    m_peers.connectAll(now);
+    m_log.write("claim-begun",
+                { { "epoch_known", std::to_string(m_election.epoch()) },
+                  { "rank", std::to_string(claimRank(now).value_or(-1)) },
+                  { "prepared", m_preparing ? "yes" : "no" } });
+    const std::optional<std::uint64_t> ownerEpochSeen = std::exchange(m_ownerEpochRead, std::nullopt);
+    if (std::exchange(m_preparing, false)) {
+        m_session->allowClaim(ownerEpochSeen);
+        return;
+    }
+    createSession();
+    m_session->begin([this](session_event event, instant then) { onSessionEvent(event, then); }, ownerEpochSeen);
 }
 
 void manager_process::onSessionEvent(session_event event, instant now)
@@ -394,12 +419,15 @@
             [this](const http_call &call, instant then, const http_reply_callback &reply) { m_session->handle(call, then, reply); }, now);
         return;
     }
-    m_election.recordOwnershipLost(now);
+    if (!m_preparing) {
+        m_election.recordOwnershipLost(now);
+    }
     discardSession(now);
 }
 
 void manager_process::discardSession(instant)
 {
+    m_preparing = false;
     m_router.clearLocalHandler();
     m_relay.setHelpers({});
     m_resigning = false;
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -57,6 +57,23 @@
                     [this](instant now) { onFeedCaughtUp(now); });
 }
 
+void owner_session::prepare(event_callback onEvent)
+{
+    m_claimAllowed = false;
+    begin(std::move(onEvent));
+}
+
+void owner_session::allowClaim(std::optional<std::uint64_t> ownerEpochSeen)
+{
+    m_claimAllowed = true;
+    if (ownerEpochSeen) {
+        m_ownerEpochSeen = ownerEpochSeen;
+    }
+    if (m_readyToClaim) {
+        readLedgerTail();
+    }
+}
+
 void owner_session::applyOperatorEntry(const ledger_entry &entry, instant now)
 {
     const operator_entry parsed = m_clients.codec.parseOperatorEntry(entry);
@@ -140,8 +157,10 @@
         m_ledgerEnd = page.nextOffset;
         if (page.nextOffset < page.endOffset) {
             readLedgerTail();
-        } else {
+        } else if (m_claimAllowed) {
             claim(now);
+        } else {
+            m_readyToClaim = true;
         }
     }));
 }
--- a/packages/manager/src/peer_tracker.cpp
+++ b/packages/manager/src/peer_tracker.cpp
@@ -232,7 +232,7 @@
     return now - (entry.messageReceived ? entry.lastMessageAt : entry.addedAt) < PEER_TIMEOUT;
 }
 
-std::optional<int> peer_tracker::rank(instant now) const
+std::optional<int> peer_tracker::rank(instant now, std::uint64_t suspectedOwner) const
 {
     const member *self = find(m_self);
     if (self == nullptr) {
@@ -240,6 +240,9 @@
     }
     // Processes that are not candidates exchange no heartbeats, so each of them is assumed to be alive.
     const auto claimsEarlier = [&](const member &other) {
+        if (other.image.incarnation() == suspectedOwner) {
+            return false;
+        }
         if (other.candidate != self->candidate) {
             return other.candidate;
         }
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -35,18 +35,38 @@
         platform.addWorker("worker-2", "pool", WORKER_CAPACITY);
     }
 
-    owner_session &begin(const std::string &process, std::uint64_t incarnation, std::optional<std::uint64_t> ownerEpochSeen = {})
+    owner_session &create(const std::string &process, std::uint64_t incarnation)
     {
         manager_settings settings;
         settings.node = process;
         sessions[process] = std::make_unique<owner_session>(platform.clientsOf(process), platform, log, settings,
                                                             process_identity{ process, incarnation }, [this] { return platform.wall(); });
         sessions[process]->setTakeOverCheck([this] { return takeOverIsKnown; });
-        sessions[process]->begin([this, process](session_event event, instant) { events[process].push_back(event); }, ownerEpochSeen);
         scheduleTicks(process);
         return *sessions[process];
     }
 
+    owner_session::event_callback recorderOf(const std::string &process)
+    {
+        return [this, process](session_event event, instant) {
+            events[process].push_back(event);
+        };
+    }
+
+    owner_session &begin(const std::string &process, std::uint64_t incarnation, std::optional<std::uint64_t> ownerEpochSeen = {})
+    {
+        owner_session &session = create(process, incarnation);
+        session.begin(recorderOf(process), ownerEpochSeen);
+        return session;
+    }
+
+    owner_session &prepare(const std::string &process, std::uint64_t incarnation)
+    {
+        owner_session &session = create(process, incarnation);
+        session.prepare(recorderOf(process));
+        return session;
+    }
+
     void scheduleTicks(const std::string &process)
     {
         platform.after(milliseconds(25), [this, process](instant now) {
@@ -184,6 +204,43 @@
     cr_assert(fleet.sessions.at("entry-3")->active());
 }
 
+// A process that expects to replace the owner reads the store before it may claim.
+Test(ownership, preparedProcessClaimsOnlyWhenAllowedAndKnowsWhatWasRecordedMeanwhile)
+{
+    fleet_fixture fleet;
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    owner_session &prepared = fleet.prepare("entry-2", 22);
+    fleet.platform.advance(seconds(1));
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
+    fleet.platform.advance(seconds(1));
+    cr_assert(fleet.sessions.at("entry-1")->active());
+    cr_assert(fleet.events["entry-2"].empty());
+    prepared.allowClaim(1);
+    fleet.platform.advance(milliseconds(20));
+    cr_assert(prepared.active());
+    cr_assert_eq(fleet.call("entry-2", "GET", QUEUE_PATH + FIRST_JOB), 200);
+    fleet.platform.advance(seconds(2));
+    cr_assert_eq(fleet.platform.doneRuns(), 4);
+    cr_assert(fleet.platform.violations().empty());
+}
+
+// Another process may claim while this one is prepared.
+Test(ownership, preparedProcessLeavesTheOwnershipToAnotherOneThatClaimed)
+{
+    fleet_fixture fleet;
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    owner_session &prepared = fleet.prepare("entry-2", 22);
+    fleet.platform.advance(milliseconds(500));
+    fleet.begin("entry-3", 33, 1);
+    fleet.platform.advance(milliseconds(500));
+    prepared.allowClaim(1);
+    fleet.platform.advance(milliseconds(500));
+    cr_assert_not(prepared.active());
+    cr_assert(fleet.sessions.at("entry-3")->active());
+}
+
 // A former owner that is partitioned from the store may still reach a worker that its successor cannot reach. The successor
 // must not start that worker's tasks elsewhere while they still run.
 Test(ownership, taskDoesNotRunTwiceWhenFormerOwnerAndWorkerArePartitioned)
--- a/packages/manager/test/peer_tracker_test.cpp
+++ b/packages/manager/test/peer_tracker_test.cpp
@@ -58,6 +58,17 @@
     cr_assert_eq(fixture.peers.rank(START + seconds(2)).value(), 0);
 }
 
+// The owner that has just ended is usually the most suitable one, and it counts as alive for a while.
+Test(peer_tracker, doesNotCountASuspectedOwnerInTheOrderOfClaims)
+{
+    tracker_fixture fixture;
+    fixture.add(1, 50, 200);
+    fixture.add(2, 50, 500);
+    fixture.peers.recordMessage(2, START);
+    cr_assert_eq(fixture.peers.rank(START + milliseconds(500)).value(), 1);
+    cr_assert_eq(fixture.peers.rank(START + milliseconds(500), 2).value(), 0);
+}
+
 Test(peer_tracker, comparesHostsByCpuAndNetworkCapacity)
 {
     tracker_fixture fixture;
