--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -230,6 +230,21 @@
     fake_links links;
 };
 
+fleet_config configWithOneQueue()
+{
+    fleet_config config;
+    config.version = 1;
+    queue_config queue;
+    queue.name = "q";
+    queue.host = "h";
+    queue.pathPrefix = QUEUE_PATH;
+    queue.pool = "pool";
+    queue.maxAttempts = 3;
+    queue.allowsAnonymous = true;
+    config.queues.push_back(queue);
+    return config;
+}
+
 fake_platform::fake_platform()
     : runTime([](const task_key &) { return milliseconds(200); })
     , alwaysFails([](const task_key &) { return false; })
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -140,6 +140,11 @@
     std::map<std::string, std::unique_ptr<struct fake_process>> m_processes;
 };
 
+const std::string QUEUE_PATH = "/q/";
+
+// A configuration with the queue QUEUE_PATH of the host name "h", whose tasks run in the pool "pool".
+fleet_config configWithOneQueue();
+
 // Counts the logged events by name.
 class counting_log : public event_log
 {
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -8,22 +8,6 @@
 
 constexpr resources WORKER_CAPACITY{ 8000, 16000, 0 };
 const std::string FIRST_JOB = "00000000000000a1";
-const std::string QUEUE_PATH = "/q/";
-
-fleet_config configWithOneQueue()
-{
-    fleet_config config;
-    config.version = 1;
-    queue_config queue;
-    queue.name = "q";
-    queue.host = "h";
-    queue.pathPrefix = QUEUE_PATH;
-    queue.pool = "pool";
-    queue.maxAttempts = 3;
-    queue.allowsAnonymous = true;
-    config.queues.push_back(queue);
-    return config;
-}
 
 // A fleet with one pool, and processes that may own its jobs.
 struct fleet_fixture
@@ -87,6 +71,19 @@
         return *status;
     }
 
+    // The worker that runs tasks; a job of few tasks runs on one.
+    std::string busyWorker()
+    {
+        return platform.workerNamed("w1").running.empty() ? "worker-2" : "w1";
+    }
+
+    void loseWorker(const std::string &id)
+    {
+        platform.workerNamed(id).alive = false;
+        platform.workerNamed(id).running.clear();
+        platform.clearRunningOn(id);
+    }
+
     fake_platform platform;
     counting_log log;
     std::map<std::string, std::unique_ptr<owner_session>> sessions;
@@ -253,7 +250,7 @@
     fleet.platform.advance(milliseconds(500));
     cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
     cr_assert_eq(fleet.platform.runningTasks(), 4);
-    const std::string busy = fleet.platform.workerNamed("w1").running.empty() ? "worker-2" : "w1";
+    const std::string busy = fleet.busyWorker();
     fleet.platform.linksOf("entry-1").storeDown = true;
     fleet.platform.linksOf("entry-2").unreachableWorkers.insert(busy);
     fleet.begin("entry-2", 22);
@@ -274,7 +271,7 @@
     fleet.begin("entry-1", 11).setPeerConfirmation([](instant) { return true; });
     fleet.platform.advance(milliseconds(500));
     cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
-    const std::string busy = fleet.platform.workerNamed("w1").running.empty() ? "worker-2" : "w1";
+    const std::string busy = fleet.busyWorker();
     fleet.platform.linksOf("entry-1").storeDown = true;
     fleet.platform.linksOf("entry-2").unreachableWorkers.insert(busy);
     fleet.begin("entry-2", 22);
@@ -294,10 +291,7 @@
     fleet.begin("entry-1", 11);
     fleet.platform.advance(milliseconds(500));
     cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
-    const std::string busy = fleet.platform.workerNamed("w1").running.empty() ? "worker-2" : "w1";
-    fleet.platform.workerNamed(busy).alive = false;
-    fleet.platform.workerNamed(busy).running.clear();
-    fleet.platform.clearRunningOn(busy);
+    fleet.loseWorker(fleet.busyWorker());
     fleet.suspended.insert("entry-1");
     fleet.begin("entry-2", 22);
     fleet.platform.advance(seconds(6));
@@ -340,10 +334,7 @@
     fleet.begin("entry-1", 11);
     fleet.platform.advance(milliseconds(500));
     cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
-    const std::string busy = fleet.platform.workerNamed("w1").running.empty() ? "worker-2" : "w1";
-    fleet.platform.workerNamed(busy).alive = false;
-    fleet.platform.workerNamed(busy).running.clear();
-    fleet.platform.clearRunningOn(busy);
+    fleet.loseWorker(fleet.busyWorker());
     fleet.suspended.insert("entry-1");
     fleet.platform.advance(milliseconds(1300));
     fleet.begin("entry-2", 22);
--- a/packages/manager/test/store_outage_test.cpp
+++ b/packages/manager/test/store_outage_test.cpp
@@ -15,25 +15,15 @@
 const std::string OWNER_NODE = "entry-1";
 const std::string EARLIER_JOB = "00000000000000a1";
 const std::string LATER_JOB = "00000000000000a2";
-const std::string QUEUE_PATH = "/q/";
 
 // An owner that sends its orders through one helper. No other process confirms its ownership.
 struct relaying_owner
 {
     explicit relaying_owner(const std::vector<std::string> &workers, bool withHosts = false)
     {
-        fleet_config config;
-        config.version = 1;
+        fleet_config config = configWithOneQueue();
         config.pools["pool"] = { "pool", true, false, {} };
         config.pools["off"] = { "off", true, true, {} };
-        queue_config queue;
-        queue.name = "q";
-        queue.host = "h";
-        queue.pathPrefix = QUEUE_PATH;
-        queue.pool = "pool";
-        queue.maxAttempts = 3;
-        queue.allowsAnonymous = true;
-        config.queues.push_back(queue);
         platform.setConfig(config);
         for (const std::string &worker : workers) {
             platform.addWorker(worker, "pool", WORKER_CAPACITY);
