Count an append as confirmed from its sending, not from its answer

A process that is paused for 8 s with an append on its way finds the answer on waking, though a successor may have claimed after 1.4 s. It would have renewed leases for 2 s more on workers that the successor cannot reach and has given up. A repeat gets the answer of the first append, even after a later claim.

Change: the time is that of the first attempt's sending, for the claim as well. A peer's answer that names a time which has not come confirms nothing.

Ruled out: the time of the answered attempt (see above).

Tests: ledger_writer (2), peer_tracker (a row).

--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -35,6 +35,8 @@
     std::uint64_t epoch = 0;
     // Sequence number of that append. The manager's own appends continue from it.
     std::uint64_t claimSequence = 0;
+    // When it was sent.
+    instant claimSentAt;
 };
 
 class job_manager : private run_listener
@@ -84,9 +86,10 @@
     bool formerLeasesExpired(instant now) const override;
     // Writes the ownership record again, which shows the other processes that this owner is alive.
     void renewOwnership(const ledger_entry &record, instant now);
-    instant lastDurableAt() const
+    // See ledger_writer::confirmedAt().
+    instant confirmedAt() const
     {
-        return m_writer.lastDurableAt();
+        return m_writer.confirmedAt();
     }
     // Time for which the store has not responded.
     duration storeUnresponsiveFor(instant now) const
--- a/packages/jobs/include/jujubespool/jobs/ledger_writer.h
+++ b/packages/jobs/include/jujubespool/jobs/ledger_writer.h
@@ -37,14 +37,16 @@
     void flush(instant now);
     // Time since the append in flight was first sent; 0 when none is in flight.
     duration unresponsiveFor(instant now) const;
-    instant lastDurableAt() const
+    // Latest time at which the ledger is known to have accepted this owner: when the last confirmed append was sent first. The answer may
+    // have waited through a pause, and a repeat gets the first answer, so neither proves a later time.
+    instant confirmedAt() const
     {
-        return m_lastDurableAt;
+        return m_confirmedAt;
     }
-    // Registers that the ledger has confirmed the ownership in another way than by an append.
-    void confirmDurable(instant now)
+    // Registers that the ledger has confirmed the ownership in another way than by an append: by a request that was sent at this time.
+    void confirm(instant sentAt)
     {
-        m_lastDurableAt = now;
+        m_confirmedAt = sentAt;
     }
     // Sets the function to call between two appends; entries that it puts go into the next append.
     void onReadyForNextAppend(std::function<void(instant now)> callback)
@@ -76,7 +78,7 @@
     bool m_fenced = false;
     int m_attempts = 0;
     instant m_sentAt;
-    instant m_lastDurableAt;
+    instant m_confirmedAt;
     std::function<void(instant now)> m_onFenced;
     std::function<void(instant now)> m_onReadyForNextAppend = [](instant) {
     };
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -28,6 +28,7 @@
     , m_hostMaintenance(m_model, m_runs, m_hostController, gateways.status, log)
     , m_poolRebalancer(m_model, m_hostController, m_hostMaintenance, log)
 {
+    m_writer.confirm(owned.claimSentAt);
     m_writer.onFenced([this](instant now) { onFenced(now); });
     m_writer.onReadyForNextAppend([this](instant now) { processChanges(now); });
     m_hostController.setOrderRecorder([this](const std::string &host, std::function<void(instant now)> recorded) {
@@ -43,7 +44,6 @@
 void job_manager::restore(const std::map<std::string, std::string> &entries, instant now, wall_ms wall)
 {
     m_wall = wall;
-    m_writer.confirmDurable(now);
     const auto ownerEntry = std::find_if(entries.begin(), entries.end(),
                                          [](const auto &entry) { return parseLedgerKey(entry.first).kind == ledger_kind::owner; });
     wire::owner_image lastOwner;
@@ -387,7 +387,7 @@
 
 bool job_manager::isOwnershipConfirmed(instant now) const
 {
-    const duration unrecorded = now - m_writer.lastDurableAt();
+    const duration unrecorded = now - m_writer.confirmedAt();
     return unrecorded < SELF_FENCE_TIMEOUT || (unrecorded < MAX_TIME_WITHOUT_RECORD && m_confirmedByPeers(now));
 }
 
--- a/packages/jobs/src/ledger_writer.cpp
+++ b/packages/jobs/src/ledger_writer.cpp
@@ -86,7 +86,7 @@
     if (result.status == append_status::done) {
         m_log.observe("ledger_append", "", now - m_sentAt);
         m_inFlight = false;
-        m_lastDurableAt = now;
+        m_confirmedAt = m_sentAt;
         std::vector<durable_callback> callbacks = std::move(m_appendCallbacks);
         m_appendCallbacks.clear();
         for (const durable_callback &callback : callbacks) {
--- a/packages/jobs/test/ledger_writer_test.cpp
+++ b/packages/jobs/test/ledger_writer_test.cpp
@@ -16,9 +16,9 @@
         appends.push_back(call);
         m_done = std::move(done);
     }
-    void answer(append_status status)
+    void answer(append_status status, instant now = NOW)
     {
-        std::exchange(m_done, nullptr)({ status, 0, {} }, NOW);
+        std::exchange(m_done, nullptr)({ status, 0, {} }, now);
     }
     std::vector<ledger_append> appends;
 
@@ -34,6 +34,16 @@
     }
 };
 
+// Runs each call at once.
+class immediate_timers : public timer_service
+{
+public:
+    void after(milliseconds delay, std::function<void(instant now)> call) override
+    {
+        call(NOW + delay);
+    }
+};
+
 class no_log : public event_log
 {
 public:
@@ -50,13 +60,22 @@
 
 struct writer_fixture
 {
+    explicit writer_fixture(timer_service &clock = neverTimers())
+        : timers(clock)
+    {
+    }
+    static no_timers &neverTimers()
+    {
+        static no_timers instance;
+        return instance;
+    }
     void putCounted(const std::string &key)
     {
         writer.putLazily(key, [this] { return std::to_string(++computed); });
     }
 
     recording_store store;
-    no_timers timers;
+    timer_service &timers;
     no_log log;
     ledger_writer writer{ store, timers, log, 1, 1 };
     int computed = 0;
@@ -104,3 +123,26 @@
     fixture.store.answer(append_status::unknown);
     cr_assert_eq(fixture.computed, 1);
 }
+
+// A process that was paused finds the answer to an append in its socket. Meanwhile another one may have become the owner.
+Test(ledger_writer, isConfirmedAtTheTimeOfSendingOnly)
+{
+    writer_fixture fixture;
+    fixture.putCounted("a");
+    fixture.writer.flush(NOW);
+    fixture.store.answer(append_status::done, NOW + seconds(5));
+    cr_assert(fixture.writer.confirmedAt() == NOW);
+}
+
+// The store answers a repeat like the first append, even if it has accepted a later owner in between.
+Test(ledger_writer, isConfirmedAtTheTimeOfTheFirstAttemptOfARepeatedAppend)
+{
+    immediate_timers timers;
+    writer_fixture fixture(timers);
+    fixture.putCounted("a");
+    fixture.writer.flush(NOW);
+    fixture.store.answer(append_status::unknown, NOW + seconds(1));
+    cr_assert_eq(fixture.store.appends.size(), 2U);
+    fixture.store.answer(append_status::done, NOW + seconds(2));
+    cr_assert(fixture.writer.confirmedAt() == NOW);
+}
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -131,6 +131,8 @@
     std::optional<std::uint64_t> m_ownerEpochSeen;
     std::uint64_t m_epoch = 0;
     int m_claimAttempts = 0;
+    // When the claim was sent first.
+    instant m_claimSentAt;
     bool m_claimAllowed = true;
     // The store has been read, and the claim is not allowed yet.
     bool m_readyToClaim = false;
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -212,6 +212,7 @@
         return;
     }
     m_epoch = previousOwner.epoch() + 1;
+    m_claimSentAt = m_claimAttempts == 0 ? now : m_claimSentAt;
     ++m_claimAttempts;
     const ledger_append call{ m_epoch, claimSequence(), m_ledgerEnd, { ownerEntry() }, CLAIM_TIMEOUT };
     m_clients.ledger.append(call, m_lifetime.guard([this](const ledger_append_result &outcome, instant now) { onClaim(outcome, now); }));
@@ -235,7 +236,7 @@
     m_lastRenewal = now;
     const manager_gateways gateways{ m_clients.ledger, m_clients.workers, m_clients.hosts, m_clients.policy, m_clients.waveStatus };
     m_manager = std::make_unique<job_manager>(gateways, m_timers, m_log, m_settings.bounds,
-                                              ownership{ m_settings.node, m_epoch, claimSequence() });
+                                              ownership{ m_settings.node, m_epoch, claimSequence(), m_claimSentAt });
     m_apiHandler = std::make_unique<job_api_handler>(*m_manager, m_clients.codec, m_log);
     m_manager->setPeerConfirmation(m_confirmedByPeers);
     m_manager->setTakeOverCheck(m_takeOverKnown);
@@ -275,13 +276,13 @@
 void owner_session::handle(const http_call &call, instant now, const http_reply_callback &reply)
 {
     const bool writes = call.method != "GET";
-    const bool ownershipUncertain = now - m_manager->lastDurableAt() > OWNERSHIP_UNCERTAIN_AFTER && !m_confirmedByPeers(now);
+    const bool ownershipUncertain = now - m_manager->confirmedAt() > OWNERSHIP_UNCERTAIN_AFTER && !m_confirmedByPeers(now);
     if (ownershipUncertain || (writes && m_manager->storeUnresponsiveFor(now) > STORE_SILENT_BEFORE_REFUSAL)) {
         // Another process may have become the owner, or the change cannot be recorded.
         refuse(call, "the store does not answer", reply);
         return;
     }
-    const bool notFoundUnreliable = now - m_manager->lastDurableAt() > NOT_FOUND_UNRELIABLE_AFTER;
+    const bool notFoundUnreliable = now - m_manager->confirmedAt() > NOT_FOUND_UNRELIABLE_AFTER;
     m_apiHandler->handle(call, now, m_wallClock(), [this, call, notFoundUnreliable, reply](const http_reply &answer) {
         if (notFoundUnreliable && answer.status == STATUS_GONE) {
             refuse(call, "the job may be known elsewhere", reply);
--- a/packages/manager/src/peer_tracker.cpp
+++ b/packages/manager/src/peer_tracker.cpp
@@ -131,7 +131,7 @@
 {
     return shareOfCandidates(CONFIRMING_SHARE, [&](const member &entry) {
         const std::optional<instant> &sentAt = entry.statement.ownerSentAt;
-        return entry.statement.epoch == epoch && sentAt && now - *sentAt < PEER_CONFIRMATION_VALIDITY;
+        return entry.statement.epoch == epoch && sentAt && *sentAt <= now && now - *sentAt < PEER_CONFIRMATION_VALIDITY;
     });
 }
 
--- a/packages/manager/test/peer_tracker_test.cpp
+++ b/packages/manager/test/peer_tracker_test.cpp
@@ -198,6 +198,7 @@
     { "more than a third does not answer", 4, milliseconds(300), OWN_EPOCH, false },
     { "one of the necessary ones knows a later owner", 5, milliseconds(300), OWN_EPOCH + 1, false },
     { "one of the necessary ones knows this owner not yet", 5, milliseconds(300), OWN_EPOCH - 1, false },
+    { "all answers name a time that has not come", 8, milliseconds(-5000), OWN_EPOCH, false },
     { "all answers were sent long ago and have waited through a pause", 8, milliseconds(5000), OWN_EPOCH, false },
 };
 
--- a/tools/measure/job_measurements.cpp
+++ b/tools/measure/job_measurements.cpp
@@ -271,7 +271,7 @@
     simulated_platform platform;
     silent_log log;
     manager_bounds bounds;
-    job_manager manager({ platform, platform, platform, platform, platform }, platform, log, bounds, { "entry-1", 1, 1 });
+    job_manager manager({ platform, platform, platform, platform, platform }, platform, log, bounds, { "entry-1", 1, 1, platform.now() });
     const instant start = platform.now();
     const auto wallAt = [&](instant now) {
         return WALL_START + static_cast<wall_ms>(duration_cast<milliseconds>(now - start).count());
