--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -107,7 +107,7 @@
     void onFenced(instant now) override;
     void onBadTicket(const task_key &key, const std::string &workerId) override;
     wall_ms wallNow() const override;
-    void noteTakeOver(instant now);
+    void checkTakeOverKnown(instant now);
     void processChanges(instant now);
     void schedule(instant now);
     void writeChanged();
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -242,7 +242,7 @@
     if (m_ownershipLost) {
         return;
     }
-    noteTakeOver(now);
+    checkTakeOverKnown(now);
     for (const auto &[id, active] : m_model.activeJobs()) {
         if (active->isRecurring() && active->addDueOccurrences(wall)) {
             m_model.markChanged(id);
@@ -391,8 +391,8 @@
     return unrecorded < SELF_FENCE_TIMEOUT || (unrecorded < MAX_TIME_WITHOUT_RECORD && m_confirmedByPeers(now));
 }
 
-// Peers that know of this ownership confirm no earlier one from now on.
-void job_manager::noteTakeOver(instant now)
+// Peers that know of this ownership confirm no earlier one, so the time until which earlier owners can renew leases is shortened.
+void job_manager::checkTakeOverKnown(instant now)
 {
     if (m_takeOverAcknowledged || !m_takeOverKnown()) {
         return;
--- a/packages/jobs/src/pool_capacity_planner.cpp
+++ b/packages/jobs/src/pool_capacity_planner.cpp
@@ -28,7 +28,7 @@
 constexpr milliseconds IDLE_TIME_BEFORE_OFF_AFTER_PEAK{ 300 };
 // How long an overdue peak is still expected.
 constexpr milliseconds LATE_PEAK_TOLERANCE{ 800 };
-// Without a plan for longer than this, the load was not under control, for example because the store did not answer.
+// A longer time between two plans is a gap, for example an outage of the store, in which callers were turned away.
 constexpr milliseconds MAX_PLAN_INTERVAL{ 1000 };
 // Time in which the callers that were turned away meanwhile come back; no pool shrinks before.
 constexpr milliseconds CALLERS_RETURN_TIME{ 1500 };
--- a/packages/manager/include/jujubespool/manager/peer_tracker.h
+++ b/packages/manager/include/jujubespool/manager/peer_tracker.h
@@ -90,7 +90,7 @@
     static bool isPreferredOwner(const wire::member_image &left, const wire::member_image &right);
     void chooseCandidates();
     // Whether at least this share of the candidates, including this process, satisfies the condition.
-    bool shareOfCandidates(double share, const std::function<bool(const member &)> &condition) const;
+    bool holdsForShareOfCandidates(double share, const std::function<bool(const member &)> &condition) const;
     void sendToAll(bool candidates, wire::peer_message message, instant now);
     void connect(member &entry, instant now);
 
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds NOT_SERVING_BEFORE_UNREADY{ 700 };
 // A process on a host with much more capacity requests a handover after it has received the owner's heartbeats for this long.
 constexpr milliseconds HANDOVER_REQUEST_DELAY{ 1500 };
-// A process that has been restarted confirms no owner before a later one, which it may have known, could have reached it again.
+// A restarted process has forgotten the owner that it knew. It confirms none until the heartbeats of the latest one had time to arrive.
 constexpr milliseconds MIN_AGE_TO_CONFIRM{ 3000 };
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
--- a/packages/manager/src/peer_tracker.cpp
+++ b/packages/manager/src/peer_tracker.cpp
@@ -114,7 +114,7 @@
     return helpers;
 }
 
-bool peer_tracker::shareOfCandidates(double share, const std::function<bool(const member &)> &condition) const
+bool peer_tracker::holdsForShareOfCandidates(double share, const std::function<bool(const member &)> &condition) const
 {
     int candidates = 0;
     int matching = 0;
@@ -129,7 +129,7 @@
 
 bool peer_tracker::confirmOwnership(std::uint64_t epoch, instant now) const
 {
-    return shareOfCandidates(CONFIRMING_SHARE, [&](const member &entry) {
+    return holdsForShareOfCandidates(CONFIRMING_SHARE, [&](const member &entry) {
         const std::optional<instant> &sentAt = entry.statement.ownerSentAt;
         return entry.statement.epoch == epoch && sentAt && *sentAt <= now && now - *sentAt < PEER_CONFIRMATION_VALIDITY;
     });
@@ -137,7 +137,7 @@
 
 bool peer_tracker::mostCandidatesKnow(std::uint64_t epoch) const
 {
-    return shareOfCandidates(KNOWING_SHARE, [&](const member &entry) { return entry.statement.epoch >= epoch; });
+    return holdsForShareOfCandidates(KNOWING_SHARE, [&](const member &entry) { return entry.statement.epoch >= epoch; });
 }
 
 bool peer_tracker::isCandidate(std::uint64_t incarnation) const
