Settle a run in doubt whose start order is given up

What callers saw: an accepted task that could run did not, with most of the capacity free, until another process took over.

Cause: sendStart gave the task back only on its first attempt. A repeat that came while the ownership was not confirmed sent no order, no stop and set no timer. The worker answered its polls without the run, which proves nothing about a run that it never confirmed, and each poll renewed the lease, so that the task stayed assigned for good.

Fix: all paths that give a start up go through giveUpStart, which gives the task back if no order can still be executed and stops the run otherwise. A stop needs no confirmed ownership: workers reject it if there is a newer owner.

--- a/packages/jobs/include/jujubespool/jobs/run_supervisor.h
+++ b/packages/jobs/include/jujubespool/jobs/run_supervisor.h
@@ -65,6 +65,8 @@
     void onStartAnswer(const start_attempt &attempt, const order_result &result, instant now);
     void onStartUnanswered(const start_attempt &attempt, instant now);
     void onStartRejected(const start_attempt &attempt, const order_result &result, instant now);
+    // Ends the attempts to start the task's present run: the task waits again, at once if no order can still be executed.
+    void giveUpStart(const task_key &key, instant now);
     void sendStop(const task_key &key, int run, const worker_address &address, instant now);
     void onStopAnswer(const task_key &key, int run, const worker_address &address, const order_result &result, instant now);
     void recordResponse(worker &target, const order_result &result, instant now);
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -86,10 +86,7 @@
         return;
     }
     if (owningJob->ended() || !m_listener.isOwnershipConfirmed(now)) {
-        if (attempt.attempts == 0) {
-            m_model.release(placed.task);
-            m_listener.onProgress(now);
-        }
+        giveUpStart(placed.task, now);
         return;
     }
     start_order order;
@@ -181,6 +178,7 @@
         // The worker has restarted. Its state is unknown until the platform's list reports the new incarnation.
         target.polled = false;
         target.clockKnown = false;
+        run.inDoubt = false;
     }
     if (result.status == order_status::superseded) {
         // The run has already ended or been stopped on the worker. The next poll reports how it ended.
@@ -189,12 +187,17 @@
         target.nextPollAt = now;
         return;
     }
-    if (run.inDoubt && result.status != order_status::other_incarnation) {
+    giveUpStart(placed.task, now);
+}
+
+void run_supervisor::giveUpStart(const task_key &key, instant now)
+{
+    if (workerOf(key)->runs.at(key).inDoubt) {
         // An earlier copy of the order may still be executed.
-        stop(placed.task, now);
+        stop(key, now);
         return;
     }
-    m_model.release(placed.task);
+    m_model.release(key);
     m_listener.onProgress(now);
 }
 
