Repeat a stop for as long as its run is placed

What callers saw: the task of a cancelled job ran on, or a task in doubt stayed assigned for good.

Cause: a stop without an answer was repeated only until the end of the worker's lease. A lease that a former owner had renewed, or that a later poll of this owner renewed, outlives that time, and the run counted as being stopped, so nothing sent the stop again.

Fix: the stop is repeated until the run is released, or until the lease's end for a run that is not placed.

--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -242,7 +242,8 @@
         }
         return;
     }
-    if (now < target->leaseEnd) {
+    const bool placed = runOf(key, run) != nullptr;
+    if (placed || now < target->leaseEnd) {
         m_timers.after(STOP_RETRY_DELAY, m_lifetime.guard([this, key, run, address](instant then) { sendStop(key, run, address, then); }));
     }
 }
