Do not blame workers for tasks that fail on several of them

What callers saw: an accepted task that could run waited for up to six seconds, with all workers of its pool empty.

Cause: a worker counted as failing once runs of two jobs had failed there. Jobs that cannot succeed fail wherever they run, so two of them made every worker of a small pool a failing one; each further failed run doubled the time for which it was avoided, at once up to six seconds, and only a completed run ended that.

Fix: a task that fails on a second worker is itself the cause, and no worker stays blamed for it. A worker that is still suspected gets one task each two seconds, whatever fails there, and all tasks again as soon as one succeeds.

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -115,6 +115,9 @@
     // The task runs at full speed on a worker that answers polls.
     bool isAtFullSpeed(const task_key &key);
     void endJob(job &entry, job_state state, wall_ms wall);
+    // Blames the worker for a failed run, unless the task has failed on other workers as well. The task is the cause then, and no worker
+    // stays blamed for it.
+    void recordFailure(const task_key &key, worker &failed, instant now);
     // Releases runs that are gone because their worker has restarted or its leases have expired.
     void releaseAll(const std::vector<task_key> &keys);
 
@@ -122,6 +125,7 @@
 
 private:
     void unplace(const task_key &key, const task_progress &task);
+    void forgiveWorkers(const task_progress &task, const task_key &key);
 
     manager_bounds m_bounds;
     std::shared_ptr<const fleet_config> m_config;
--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -13,6 +13,7 @@
 #include <jujubespool/wire/jujubespool.pb.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -106,6 +107,8 @@
     // While assigned: the worker that runs the task, and the start time of its incarnation in Unix milliseconds.
     std::string worker;
     std::uint64_t startTimeMs = 0;
+    // Workers on which a run of the task has failed. Not part of the image.
+    std::set<std::string> failedOn;
 };
 
 // Identifies one task of a job.
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -91,7 +91,7 @@
     instant lastResponseAt;
     // Number of successive polls without a usable response.
     int unansweredPolls = 0;
-    // The worker gets no new tasks before this time, because it did not respond, failed runs or lacked free capacity.
+    // The worker gets no new tasks before this time, because it did not respond, refused an order or lacked free capacity.
     instant avoidUntil;
     // Time for which the worker was avoided last. It doubles each time.
     milliseconds avoidBackoff{ 0 };
@@ -103,9 +103,15 @@
     bool leavingPool = false;
     // The host has to be emptied for maintenance at some time.
     bool dueForMaintenance = false;
-    // Jobs of which a run failed on this worker since a run last completed successfully there.
-    std::set<std::string> failedJobs;
+    // Tasks that have failed on this worker, and on no other one, since a run last completed successfully here.
+    std::set<task_key> failedTasks;
+    // While the worker is suspected to fail all runs, it gets one new task at this time, to find out whether it works again.
+    instant nextTrialAt;
 
+    // Runs of several jobs have failed here, and nothing shows that the jobs themselves are the cause.
+    bool isSuspectedToFailRuns() const;
+    // The worker is neither avoided nor suspected, or the time has come for a trial.
+    bool mayGetTasks(instant now) const;
     bool hasLabel(const std::string &label) const;
     // Empty if the worker does not report its rack.
     std::string rack() const;
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -8,6 +8,8 @@
 
 constexpr milliseconds LEASE_LENGTH{ 3200 };
 constexpr milliseconds LEASE_MARGIN{ 200 };
+// Time between two tasks that a worker gets while it is suspected to fail all runs.
+constexpr milliseconds TRIAL_INTERVAL{ 2000 };
 
 } // namespace
 
@@ -105,6 +107,9 @@
     placed.placedAt = now;
     placed.tailLatencyTarget = step.tailLatencyTarget;
     target.place(key, placed);
+    if (target.isSuspectedToFailRuns()) {
+        target.nextTrialAt = now + TRIAL_INTERVAL;
+    }
     m_usage.add(owningJob.request().team, placed.need);
     if (owningJob.state() == job_state::queued) {
         owningJob.setState(job_state::running, 0);
@@ -227,6 +232,31 @@
     return placed != target->runs.end() && placed->second.confirmed && !placed->second.stopping && placed->second.progressPercent >= 100;
 }
 
+void fleet_model::recordFailure(const task_key &key, worker &failed, instant now)
+{
+    task_progress &task = *find(key.job)->task(key);
+    const bool wasSuspected = failed.isSuspectedToFailRuns();
+    task.failedOn.insert(failed.report.id);
+    if (task.failedOn.size() == 1) {
+        failed.failedTasks.insert(key);
+    } else {
+        forgiveWorkers(task, key);
+    }
+    if (!wasSuspected && failed.isSuspectedToFailRuns()) {
+        failed.nextTrialAt = now + TRIAL_INTERVAL;
+    }
+}
+
+void fleet_model::forgiveWorkers(const task_progress &task, const task_key &key)
+{
+    for (const std::string &id : task.failedOn) {
+        worker *blamed = m_workers.find(id);
+        if (blamed != nullptr) {
+            blamed->failedTasks.erase(key);
+        }
+    }
+}
+
 void fleet_model::endJob(job &entry, job_state state, wall_ms wall)
 {
     entry.setState(state, wall);
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -284,7 +284,7 @@
 {
     task_progress *entry = task(key);
     if (entry != nullptr && entry->phase != task_phase::done) {
-        *entry = { task_phase::done, entry->run, entry->failures, {}, {}, 0 };
+        *entry = { task_phase::done, entry->run, entry->failures, {}, {}, 0, {} };
         --m_occurrences[key.occurrence].unfinishedTasks[static_cast<std::size_t>(key.step)];
     }
 }
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -55,7 +55,7 @@
 bool acceptsNewTasks(const worker &target, instant now)
 {
     return target.listed && target.report.state == worker_state::ready && target.polled && target.clockKnown && !target.cordoned
-        && !target.leavingPool && now >= target.avoidUntil;
+        && !target.leavingPool && target.mayGetTasks(now);
 }
 
 bool fitsWhenEmpty(const worker &target, const step_spec &step)
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -21,10 +21,6 @@
 constexpr milliseconds UNRESPONSIVE_POLL_INTERVAL{ 300 };
 // Poll interval while this process may not act.
 constexpr milliseconds WITHHELD_POLL_INTERVAL{ 100 };
-// A worker is avoided once runs of this many different jobs have failed there without a successful run in between. A single
-// failing job is not enough, because a job that cannot succeed fails on every worker.
-constexpr std::size_t FAILED_JOBS_BEFORE_AVOID = 2;
-constexpr milliseconds FAILING_WORKER_AVOID_TIME{ 2000 };
 // Best-effort runs are slowed down when the tail latency of a run on the same worker exceeds the first fraction of its target,
 // and sped up again when it is below the second.
 constexpr double TAIL_LATENCY_HIGH_RATIO = 0.8;
@@ -256,21 +252,21 @@
 void run_supervisor::updateHealth(worker &target, const finished_run &finished, instant now)
 {
     if (finished.outcome == run_outcome::done) {
-        target.failedJobs.clear();
+        target.failedTasks.clear();
         target.avoidBackoff = milliseconds(0);
         return;
     }
     if (finished.outcome != run_outcome::failed) {
         return;
     }
-    target.failedJobs.insert(finished.task.job);
     target.startUnansweredAt.reset();
-    if (target.failedJobs.size() >= FAILED_JOBS_BEFORE_AVOID) {
-        avoidWorker(target, FAILING_WORKER_AVOID_TIME, now);
+    const bool wasSuspected = target.isSuspectedToFailRuns();
+    m_model.recordFailure(finished.task, target, now);
+    if (!wasSuspected && target.isSuspectedToFailRuns()) {
         m_log.write("worker-avoided",
                     { { "worker", target.report.id },
-                      { "jobs_failed", std::to_string(target.failedJobs.size()) },
-                      { "for_ms", std::to_string(target.avoidBackoff.count()) } });
+                      { "tasks_failed", std::to_string(target.failedTasks.size()) },
+                      { "for_ms", std::to_string(duration_cast<milliseconds>(target.nextTrialAt - now).count()) } });
     }
 }
 
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// A single failing job is not enough, because a job that cannot succeed fails on every worker.
+constexpr std::size_t FAILED_JOBS_BEFORE_SUSPICION = 2;
+
 // The resources of the run that count against the worker's capacity.
 resources countedResources(const placed_run &run)
 {
@@ -19,6 +22,20 @@
 
 } // namespace
 
+bool worker::isSuspectedToFailRuns() const
+{
+    std::set<std::string> jobs;
+    for (const task_key &task : failedTasks) {
+        jobs.insert(task.job);
+    }
+    return jobs.size() >= FAILED_JOBS_BEFORE_SUSPICION;
+}
+
+bool worker::mayGetTasks(instant now) const
+{
+    return now >= avoidUntil && (now >= nextTrialAt || !isSuspectedToFailRuns());
+}
+
 bool worker::hasLabel(const std::string &label) const
 {
     return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
--- a/packages/jobs/test/run_supervisor_test.cpp
+++ b/packages/jobs/test/run_supervisor_test.cpp
@@ -166,7 +166,7 @@
     void restore()
     {
         task_progress &task = *m_model.find(key.job)->task(key);
-        task = { task_phase::assigned, 1, 0, {}, REPORT.id, REPORT.startTimeMs };
+        task = { task_phase::assigned, 1, 0, {}, REPORT.id, REPORT.startTimeMs, {} };
         target().polled = false;
         target().clockKnown = false;
         m_model.restorePlacement(key, platform.now + m_model.leaseExpiryBound(), platform.now);
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -434,6 +434,24 @@
     cr_assert_eq(fleet.platform.doneRuns(), 16, "%d", fleet.platform.doneRuns());
 }
 
+// Jobs that cannot succeed fail wherever they run, so they say nothing about the workers.
+Test(ownership, taskRunsSoonAlthoughSeveralJobsFailOnAllWorkersOfItsPool)
+{
+    fleet_fixture fleet;
+    fleet.platform.alwaysFails = [&](const task_key &key) {
+        return key.job != FIRST_JOB;
+    };
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    for (const char *id : { "00000000000000b0", "00000000000000b1", "00000000000000b2", "00000000000000b3" }) {
+        cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + id, "8"), 200);
+    }
+    fleet.platform.advance(milliseconds(900));
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "4"), 200);
+    fleet.platform.advance(milliseconds(2500));
+    cr_assert_eq(fleet.platform.doneRuns(), 4, "%d", fleet.platform.doneRuns());
+}
+
 // One team submits many times more than the others. Its burst of short jobs must not delay a job of another team.
 Test(ownership, burstOfOneTeamDoesNotDelayOtherTeams)
 {
