Avoid a worker that refuses orders for two seconds at most

What callers saw: a task that could run waited for up to six seconds after its worker had stopped refusing orders.

Cause: the time for which a worker is avoided after a refusal doubled up to six seconds, and nothing but a completed run ended it.

Evidence: run_supervisor taskStartsSoonAfterItsOnlyWorkerStopsRefusingOrders failed after ten seconds of refusals (6 starts).

Fix: the time grows to two seconds at most, so that a worker which works again is found within that time.

--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -11,7 +11,7 @@
 constexpr int MAX_START_ATTEMPTS = 3;
 constexpr milliseconds STOP_RETRY_DELAY{ 250 };
 // Upper limit of the time for which a worker is avoided, which doubles each time.
-constexpr milliseconds MAX_AVOID_TIME{ 6000 };
+constexpr milliseconds MAX_AVOID_TIME{ 2000 };
 
 } // namespace
 
--- a/packages/jobs/test/run_supervisor_test.cpp
+++ b/packages/jobs/test/run_supervisor_test.cpp
@@ -162,6 +162,16 @@
         const int run = m_model.place(key, target(), platform.now);
         m_runs.start({ key, run, REPORT.id, {} }, platform.now);
     }
+    // Places the task whenever it waits and the worker may get it.
+    void advanceAndPlace(milliseconds time)
+    {
+        for (const instant end = platform.now + time; platform.now < end;) {
+            if (phase() == task_phase::waiting && target().mayGetTasks(platform.now)) {
+                place();
+            }
+            advance(STEP);
+        }
+    }
     // Places the task as a new owner does that finds it assigned in the ledger, on a worker that it has not polled yet.
     void restore()
     {
@@ -231,6 +241,20 @@
                  fixture.platform.stops);
 }
 
+// The worker refuses all orders for a while, and then none.
+Test(run_supervisor, taskStartsSoonAfterItsOnlyWorkerStopsRefusingOrders)
+{
+    for (seconds refusing(10); refusing <= seconds(22); refusing += seconds(1)) {
+        one_task_fixture fixture;
+        fixture.platform.startStatus = order_status::refused;
+        fixture.advanceAndPlace(refusing);
+        fixture.platform.startStatus = order_status::accepted;
+        fixture.advanceAndPlace(MAX_HELD_BACK);
+        cr_assert(fixture.platform.isRunning(fixture.key), "refused for %ld s, %d starts", static_cast<long>(refusing.count()),
+                  fixture.platform.starts);
+    }
+}
+
 // The worker does not answer until the lease that the former owner granted may have ended, but the former owner has renewed it.
 Test(run_supervisor, runOfACancelledJobIsStoppedEvenIfItsWorkerAnswersOnlyAfterTheLease)
 {
