Stop a run whose start nobody has settled in time

Whatever path forgets it next, a poll that the worker answers now stops each run whose start was ordered more than 2.5 s ago and is neither confirmed nor being stopped, and logs start-overdue. The task waits again once the stop is confirmed and a later poll does not list the run. The unused time of placement becomes the time of the first order, since a run that waits for its record has no order that could be lost.

Test: run_supervisor taskWaitsAgainWhenTheAnswerToItsStartIsNeverReported; without the check the task stays assigned.

--- a/packages/jobs/include/jujubespool/jobs/run_supervisor.h
+++ b/packages/jobs/include/jujubespool/jobs/run_supervisor.h
@@ -76,6 +76,8 @@
     void onPollFailed(worker &target, const poll_result &result, instant now);
     bool stopConfirmedBefore(const task_key &key, int run, instant time) const;
     void reconcileRuns(worker &target, instant sentAt, const poll_result &result, instant now);
+    // Stops the runs whose start should have been settled long ago, so that their tasks wait again whatever has been lost.
+    void settleOverdueStarts(worker &target, instant now);
     void applyEnds(worker &target, const poll_result &result, instant now);
     void updateHealth(worker &target, const finished_run &finished, instant now);
     void expireLeases(worker &target, instant now);
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -10,6 +10,7 @@
 
 #include <jujubespool/jobs/job.h>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace jujubespool {
@@ -54,7 +55,8 @@
     bool inDoubt = false;
     // A stop order has been sent.
     bool stopping = false;
-    instant placedAt;
+    // Time of the first start order. No order has been sent if it is not set.
+    std::optional<instant> orderedAt;
     instant confirmedAt;
     // Limit of the run's speed, in percent of its full speed.
     int speedLimitPercent = 100;
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -104,7 +104,6 @@
     placed.need = resourcesOf(step);
     placed.bestEffort = step.bestEffort;
     placed.longRunning = step.longRunning;
-    placed.placedAt = now;
     placed.tailLatencyTarget = step.tailLatencyTarget;
     target.place(key, placed);
     if (target.isSuspectedToFailRuns()) {
@@ -145,7 +144,6 @@
     placed.bestEffort = step.bestEffort;
     placed.longRunning = step.longRunning;
     placed.confirmed = true;
-    placed.placedAt = now;
     placed.confirmedAt = now;
     placed.tailLatencyTarget = step.tailLatencyTarget;
     target->place(key, placed);
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds UNRECORDED_ENDS_POLL_INTERVAL{ 800 };
 // Poll interval for a worker that does not respond.
 constexpr milliseconds UNRESPONSIVE_POLL_INTERVAL{ 300 };
+// All attempts to start a run take less time than this.
+constexpr milliseconds MAX_UNCONFIRMED_TIME{ 2500 };
 // Poll interval while this process may not act.
 constexpr milliseconds WITHHELD_POLL_INTERVAL{ 100 };
 // Best-effort runs are slowed down when the tail latency of a run on the same worker exceeds the first fraction of its target,
@@ -203,12 +205,28 @@
     }
     m_model.releaseAll(gone);
     applyEnds(target, result, now);
+    settleOverdueStarts(target, now);
     adjustSpeedLimits(target);
     if (!gone.empty() || !result.finished.empty()) {
         m_listener.onProgress(now);
     }
 }
 
+void run_supervisor::settleOverdueStarts(worker &target, instant now)
+{
+    std::vector<task_key> overdue;
+    for (const auto &[key, run] : target.runs) {
+        if (!run.confirmed && !run.stopping && run.orderedAt && now - *run.orderedAt > MAX_UNCONFIRMED_TIME) {
+            overdue.push_back(key);
+        }
+    }
+    for (const task_key &key : overdue) {
+        m_log.write("start-overdue", { { "task", key.text() }, { "worker", target.report.id } });
+        m_log.count("overdue_total", "start");
+        stop(key, now);
+    }
+}
+
 void run_supervisor::applyEnds(worker &target, const poll_result &result, instant now)
 {
     std::uint64_t highest = target.lastEndSeen;
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -89,6 +89,7 @@
         giveUpStart(placed.task, now);
         return;
     }
+    run->orderedAt = run->orderedAt.value_or(now);
     start_order order;
     order.worker = addressOf(*target);
     order.task = placed.task;
--- a/packages/jobs/test/run_supervisor_test.cpp
+++ b/packages/jobs/test/run_supervisor_test.cpp
@@ -21,6 +21,9 @@
     void start(const start_order &order, order_callback done) override
     {
         ++starts;
+        if (losesStartAnswers) {
+            return;
+        }
         answer(startStatus, order.task, order.run, std::move(done));
     }
     void stop(const stop_order &order, order_callback done) override
@@ -107,6 +110,7 @@
     order_status stopStatus = order_status::accepted;
     order_status pollStatus = order_status::accepted;
     bool ownershipConfirmed = true;
+    bool losesStartAnswers = false;
     int starts = 0;
     int stops = 0;
 
@@ -255,6 +259,16 @@
     }
 }
 
+// Every order is answered sooner or later, but a fault in this process may lose the answer.
+Test(run_supervisor, taskWaitsAgainWhenTheAnswerToItsStartIsNeverReported)
+{
+    one_task_fixture fixture;
+    fixture.platform.losesStartAnswers = true;
+    fixture.place();
+    fixture.advance(MAX_HELD_BACK);
+    cr_assert_eq(fixture.phase(), task_phase::waiting, "%d stops", fixture.platform.stops);
+}
+
 // The worker does not answer until the lease that the former owner granted may have ended, but the former owner has renewed it.
 Test(run_supervisor, runOfACancelledJobIsStoppedEvenIfItsWorkerAnswersOnlyAfterTheLease)
 {
