Place a task on a host that leaves its pool if no other worker can take it

What callors saw: tasks of a step with one task per worker waited with most of the capacity free.

Cause: pools give hosts away by processor time alone, and a host that was to leave took no new task. A pool with time to spare could be left with fewer usable hosts than the step needs, for as long as another pool was short of hosts.

Evidence: run_scheduler stepWithOneTaskPerWorkerIsPlacedAlthoughOtherPoolsNeedTheHosts placed 1 of 3 tasks.

Fix: such a host is the last choice instead of none. While other workers have room it stays empty and leaves as before (placesNothingOnWorkersThatLeaveThePoolWhileOthersHaveRoom).

--- a/packages/jobs/include/jujubespool/jobs/placement.h
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -28,7 +28,7 @@
     std::function<bool(const worker &)> isPermitted;
 };
 
-// True when the worker is listed, ready and polled, and is neither avoided, cordoned nor leaving its pool.
+// True when the worker is listed, ready and polled, and is neither avoided nor cordoned.
 bool acceptsNewTasks(const worker &target, instant now);
 
 // True when the worker has the required label and one task of the step would fit if nothing else ran there.
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -101,7 +101,7 @@
     std::optional<instant> startUnansweredAt;
     // The worker gets no new tasks, because its host is about to be maintained or moved.
     bool cordoned = false;
-    // The worker gets no new tasks, because another pool needs its host more.
+    // Another pool needs the host more, so the worker gets only tasks that no other worker can take.
     bool leavingPool = false;
     // The host has to be emptied for maintenance at some time.
     bool dueForMaintenance = false;
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Compared element by element; the smallest is chosen.
-using preference = std::tuple<bool, bool, int, std::int64_t, std::int64_t>;
+using preference = std::tuple<bool, bool, bool, int, std::int64_t, std::int64_t>;
 
 // Maximum fraction of a host's CPU that long-running tasks should use as long as other hosts are available.
 constexpr double MAX_LONG_RUNNING_FRACTION = 0.6;
@@ -44,10 +44,11 @@
         const bool crowded = longRunningCpuMillis(target) + (step.bestEffort ? 0 : step.taskResources.cpuMillis)
             > static_cast<std::int64_t>(MAX_LONG_RUNNING_FRACTION * static_cast<double>(target.report.capacity.cpuMillis));
         const bool needsFurtherHost = crowded || countIndefiniteRuns(target) == 0;
-        return { avoided || target.dueForMaintenance, farFromData, needsFurtherHost ? 1 : 0, countIndefiniteRuns(target), -freeCpuMillis };
+        return { target.leavingPool,       avoided || target.dueForMaintenance, farFromData,
+                 needsFurtherHost ? 1 : 0, countIndefiniteRuns(target),         -freeCpuMillis };
     }
     const bool otherDataCenter = !request.preferredDataCenter.empty() && target.report.dataCenter != request.preferredDataCenter;
-    return { avoided, farFromData, target.dueForMaintenance ? 1 : 0, otherDataCenter ? 1 : 0, freeCpuMillis };
+    return { target.leavingPool, avoided, farFromData, target.dueForMaintenance ? 1 : 0, otherDataCenter ? 1 : 0, freeCpuMillis };
 }
 
 } // namespace
@@ -55,7 +56,7 @@
 bool acceptsNewTasks(const worker &target, instant now)
 {
     return target.listed && target.report.state == worker_state::ready && target.polled && target.clockKnown && !target.cordoned
-        && !target.leavingPool && target.mayGetTasks(now);
+        && target.mayGetTasks(now);
 }
 
 bool fitsWhenEmpty(const worker &target, const step_spec &step)
--- a/packages/jobs/test/run_scheduler_test.cpp
+++ b/packages/jobs/test/run_scheduler_test.cpp
@@ -33,7 +33,7 @@
         }
     }
 
-    void submit(int number, int tasks)
+    void submit(int number, int tasks, int maxPerWorker = 0)
     {
         job_request request;
         request.id = "00000000000" + std::to_string(10000 + number);
@@ -42,6 +42,7 @@
         step.count = tasks;
         step.taskResources = { 6000, 4000, 0 };
         step.estimated = milliseconds(800);
+        step.maxPerWorker = maxPerWorker;
         request.steps.push_back(step);
         job &accepted = model.add(job::accept(request, WALL));
         accepted.addDueOccurrences(WALL);
@@ -52,6 +53,15 @@
         scheduler.decide(model, tickets, NOW, WALL);
     }
 
+    std::size_t countRuns() const
+    {
+        std::size_t count = 0;
+        for (const auto &[id, target] : model.workers().all()) {
+            count += target.runs.size();
+        }
+        return count;
+    }
+
     // Number of jobs with a running task in the data centre.
     std::size_t countJobsIn(const std::string &center) const
     {
@@ -100,3 +110,27 @@
         cr_assert_lt(target.freeCapacity().cpuMillis, 6000, "%s", id.c_str());
     }
 }
+
+// The pool gives hosts away because it has processor time to spare, but the step needs three workers.
+Test(run_scheduler, stepWithOneTaskPerWorkerIsPlacedAlthoughOtherPoolsNeedTheHosts)
+{
+    pool_fixture fixture(1);
+    for (auto &[id, target] : fixture.model.workers().all()) {
+        target.leavingPool = id != "a0";
+    }
+    fixture.submit(1, 3, 1);
+    fixture.schedule();
+    cr_assert_eq(fixture.countRuns(), 3, "%zu", fixture.countRuns());
+}
+
+Test(run_scheduler, placesNothingOnWorkersThatLeaveThePoolWhileOthersHaveRoom)
+{
+    pool_fixture fixture(1);
+    fixture.model.workers().find("a0")->leavingPool = true;
+    for (int i = 0; i < 4; ++i) {
+        fixture.submit(i, 4);
+    }
+    fixture.schedule();
+    cr_assert(fixture.model.workers().find("a0")->runs.empty());
+    cr_assert_eq(fixture.countRuns(), 16);
+}
