Poll a silent worker until it answers, and give it no task before

What callers saw: a task that could run was started on a worker that could not be reached and stayed in doubt for a lease, or waited while workers that were reachable again stood empty.

Cause: once the leases of a silent worker had ended nothing polled it any more, so that only the time for which it was avoided decided: it got tasks too early while it was still silent, or up to that time too late when it was back (found by the liveness property).

Evidence: run_supervisor silentWorkerGetsNoTaskUntilItAnswersAndThenSoon failed in its first row.

--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -93,7 +93,7 @@
     instant lastResponseAt;
     // Number of successive polls without a usable response.
     int unansweredPolls = 0;
-    // The worker gets no new tasks before this time, because it did not respond, refused an order or lacked free capacity.
+    // The worker gets no new tasks before this time, because it refused an order, lacked free capacity or did not answer a start order.
     instant avoidUntil;
     // Time for which the worker was avoided last. It doubles each time.
     milliseconds avoidBackoff{ 0 };
@@ -112,7 +112,7 @@
 
     // Runs of several jobs have failed here, and nothing shows that the jobs themselves are the cause.
     bool isSuspectedToFailRuns() const;
-    // The worker is neither avoided nor suspected, or the time has come for a trial.
+    // The worker answers polls and is neither avoided nor suspected, or the time has come for a trial.
     bool mayGetTasks(instant now) const;
     bool hasLabel(const std::string &label) const;
     // Empty if the worker does not report its rack.
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -70,7 +70,8 @@
     if (target.report.address.empty()) {
         return false;
     }
-    return !target.runs.empty() || (target.listed && !target.polled) || target.lastEndRecorded < target.lastEndSeen;
+    const bool mustAnswerFirst = !target.polled || target.unansweredPolls > 0;
+    return !target.runs.empty() || (target.listed && mustAnswerFirst) || target.lastEndRecorded < target.lastEndSeen;
 }
 
 void run_supervisor::tick(instant now)
@@ -152,7 +153,6 @@
 {
     ++target.unansweredPolls;
     target.nextPollAt = now + UNRESPONSIVE_POLL_INTERVAL;
-    avoidWorker(target, INITIAL_AVOID_TIME, now);
     if (target.unansweredPolls == 1) {
         m_log.write("worker-silent",
                     { { "worker", target.report.id },
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -33,7 +33,7 @@
 
 bool worker::mayGetTasks(instant now) const
 {
-    return now >= avoidUntil && (now >= nextTrialAt || !isSuspectedToFailRuns());
+    return unansweredPolls == 0 && now >= avoidUntil && (now >= nextTrialAt || !isSuspectedToFailRuns());
 }
 
 bool worker::hasLabel(const std::string &label) const
--- a/packages/jobs/test/run_supervisor_test.cpp
+++ b/packages/jobs/test/run_supervisor_test.cpp
@@ -88,6 +88,13 @@
     {
     }
 
+    void setUnreachable(bool unreachable)
+    {
+        startStatus = stopStatus = pollStatus = unreachable ? order_status::unknown : order_status::accepted;
+        if (unreachable) {
+            m_running.clear();
+        }
+    }
     void runTask(const task_key &task, int run)
     {
         m_running[task] = run;
@@ -269,6 +276,23 @@
     cr_assert_eq(fixture.phase(), task_phase::waiting, "%d stops", fixture.platform.stops);
 }
 
+// Its leases end meanwhile, so nothing of this owner runs there any more.
+Test(run_supervisor, silentWorkerGetsNoTaskUntilItAnswersAndThenSoon)
+{
+    for (milliseconds silence(4000); silence <= milliseconds(12000); silence += milliseconds(500)) {
+        one_task_fixture fixture;
+        fixture.place();
+        fixture.advance(milliseconds(500));
+        fixture.platform.setUnreachable(true);
+        fixture.advanceAndPlace(silence);
+        cr_assert_eq(fixture.platform.starts, 1, "silent for %ld ms, %d starts", static_cast<long>(silence.count()),
+                     fixture.platform.starts);
+        fixture.platform.setUnreachable(false);
+        fixture.advanceAndPlace(milliseconds(1000));
+        cr_assert_eq(fixture.platform.starts, 2, "silent for %ld ms", static_cast<long>(silence.count()));
+    }
+}
+
 // The worker does not answer until the lease that the former owner granted may have ended, but the former owner has renewed it.
 Test(run_supervisor, runOfACancelledJobIsStoppedEvenIfItsWorkerAnswersOnlyAfterTheLease)
 {
