End a stopping process only after its last answers are written

What callers saw: a request that the stopping process had read ended without an answer.

Cause: the process ended in the same pass of the event loop in which its last open request was answered or timed out; the answer was still in the output buffer. After five seconds it ended with requests open.

--- a/packages/manager/include/jujubespool/manager/call_router.h
+++ b/packages/manager/include/jujubespool/manager/call_router.h
@@ -32,6 +32,8 @@
     void onForwardedReply(const wire::forwarded_reply &reply, instant now);
     // Resends and times out pending requests; call it periodically.
     void tick(instant now);
+    // Answers all pending requests without waiting any longer for the owner.
+    void answerPending(instant now);
 
 private:
     struct pending_call
@@ -45,6 +47,8 @@
     };
     void dispatch(std::uint64_t id, instant now);
     void finish(std::uint64_t id, const http_reply &reply, instant now);
+    // Answers a request that has no reply: refused, or unknown if an owner may have carried it out.
+    void finishUnanswered(std::uint64_t id, instant now);
 
     peer_tracker &m_peers;
     event_log &m_log;
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -13,6 +13,7 @@
 #include <jujubespool/manager/owner_record_reader.h>
 #include <jujubespool/manager/owner_session.h>
 #include <jujubespool/manager/relay_executor.h>
+#include <jujubespool/manager/stop_sequence.h>
 #include <jujubespool/wire/zmq_peer_transport.h>
 
 namespace jujubespool {
@@ -116,7 +117,8 @@
     // Start of the delay before the next handover request: when heartbeats from an owner on a host with much less
     // capacity were first received, or when the last request was sent.
     instant m_handoverWaitSince;
-    instant m_stopStartedAt;
+    // Set while the process is being stopped.
+    std::optional<stop_sequence> m_stop;
     lifetime m_lifetime;
 };
 
--- a/packages/manager/src/call_router.cpp
+++ b/packages/manager/src/call_router.cpp
@@ -153,15 +153,27 @@
         dispatch(id, now);
     }
     for (const std::uint64_t id : toRefuse) {
-        const pending_call &pending = m_pending.at(id);
-        const int status = pending.sendCount > 0 && pending.call.method != "GET" ? STATUS_TIMEOUT : STATUS_UNAVAILABLE;
-        m_log.write("unanswered",
-                    { { "call", pending.call.method + " " + pending.call.path },
-                      { "passed_on", pending.sendCount > 0 ? "yes" : "no" },
-                      { "status", std::to_string(status) },
-                      { "waited_ms", std::to_string(duration_cast<milliseconds>(now - pending.receivedAt).count()) } });
-        finish(id, { status, "{}", "application/json", RETRY_AFTER_S }, now);
+        finishUnanswered(id, now);
     }
 }
 
+void call_router::answerPending(instant now)
+{
+    while (!m_pending.empty()) {
+        finishUnanswered(m_pending.begin()->first, now);
+    }
+}
+
+void call_router::finishUnanswered(std::uint64_t id, instant now)
+{
+    const pending_call &pending = m_pending.at(id);
+    const int status = pending.sendCount > 0 && pending.call.method != "GET" ? STATUS_TIMEOUT : STATUS_UNAVAILABLE;
+    m_log.write("unanswered",
+                { { "call", pending.call.method + " " + pending.call.path },
+                  { "passed_on", pending.sendCount > 0 ? "yes" : "no" },
+                  { "status", std::to_string(status) },
+                  { "waited_ms", std::to_string(duration_cast<milliseconds>(now - pending.receivedAt).count()) } });
+    finish(id, { status, "{}", "application/json", RETRY_AFTER_S }, now);
+}
+
 } // namespace jujubespool
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -16,9 +16,6 @@
 constexpr milliseconds MEMBER_HEARTBEAT_INTERVAL{ 500 };
 constexpr poll_timing MEMBERS_POLL_TIMING{ milliseconds(10000), milliseconds(0) };
 constexpr milliseconds REGISTRATION_RETRY_DELAY{ 300 };
-// The load balancer needs about two seconds to stop sending callers to this process.
-constexpr milliseconds MIN_STOP_TIME{ 2600 };
-constexpr milliseconds MAX_STOP_TIME{ 5000 };
 // A process that cannot serve for this long reports that it is not ready, so that callers use another process. A change
 // of owner takes less time.
 constexpr milliseconds NOT_SERVING_BEFORE_UNREADY{ 700 };
@@ -445,7 +442,7 @@
     const instant now = m_loop.now();
     m_log.write("stopping", { { "owns", owns() ? "yes" : "no" } });
     m_stopping = true;
-    m_stopStartedAt = now;
+    m_stop.emplace(now);
     if (!owns()) {
         sendMemberHeartbeat(now);
         m_handedOver = true;
@@ -461,12 +458,17 @@
 
 void manager_process::completeStop(instant now)
 {
-    const duration elapsed = now - m_stopStartedAt;
-    const bool drained = m_callerListener.openCalls() == 0 && m_handedOver && elapsed >= MIN_STOP_TIME;
-    if (drained || elapsed >= MAX_STOP_TIME) {
+    switch (m_stop->next(m_callerListener.openCalls(), m_handedOver, now)) {
+    case stop_action::wait:
+        break;
+    case stop_action::answer_open_calls:
+        m_router.answerPending(now);
+        break;
+    case stop_action::end:
         m_log.write("stopped", { { "open_calls", std::to_string(m_callerListener.openCalls()) } });
         flushLog();
         m_loop.stop();
+        break;
     }
 }
 
