--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -462,6 +462,7 @@
     case stop_action::wait:
         break;
     case stop_action::answer_open_calls:
+        m_callerListener.stopAccepting();
         m_router.answerPending(now);
         break;
     case stop_action::end:
--- a/packages/manager/src/stop_sequence.cpp
+++ b/packages/manager/src/stop_sequence.cpp
@@ -9,6 +9,8 @@
 constexpr milliseconds MAX_STOP_TIME{ 5000 };
 // An answer is written in a later pass of the event loop than the one that decides on it.
 constexpr milliseconds ANSWER_WRITE_TIME{ 60 };
+// Callers that keep sending requests do not delay the end for longer than this.
+constexpr milliseconds MAX_ANSWER_TIME{ 150 };
 
 } // namespace
 
@@ -21,6 +23,9 @@
 {
     const duration elapsed = now - m_startedAt;
     const bool overdue = elapsed >= MAX_STOP_TIME;
+    if (elapsed >= MAX_STOP_TIME + MAX_ANSWER_TIME) {
+        return stop_action::end;
+    }
     if (openCalls > 0) {
         m_answeredSince.reset();
         return overdue ? stop_action::answer_open_calls : stop_action::wait;
--- a/packages/manager/test/stop_sequence_test.cpp
+++ b/packages/manager/test/stop_sequence_test.cpp
@@ -68,6 +68,16 @@
 
 } // namespace
 
+Test(stop_sequence, endsInTimeAlthoughRequestsKeepComing)
+{
+    stop_sequence stop(START);
+    milliseconds at(0);
+    while (stop.next(1, true, START + at) != stop_action::end) {
+        at += PASS;
+        cr_assert_lt(at, GRACE);
+    }
+}
+
 Test(stop_sequence, answersEveryRequestAPassBeforeTheEndAndEndsInTime)
 {
     for (const stop_row &testCase : stops()) {
