Take one done end of a gang's run for the end of the whole gang

What callers would see: a job with a gang ran on for good, with its workers free, once the end of one member had been noted and another member was lost with its worker (or its lease lapsed, or its end was reported as broken).

Cause: applyEnd counted each member's end for itself. A gang is placed only if all its members wait, so a gang of which one member was done and another waited was never placed again. An image written between two ends left the next owner with the same state.

Fix: with the first end as done the step has no unfinished tasks any more. Members that wait are done at once; a member that is still placed keeps its phase, its worker's resources and its team's usage until its run has left the worker, in whatever way, and is done then. An occurrence counts as ended only when none of its tasks is assigned, so that the ledger keeps such members for the next owner. Starts of such members are not repeated, and a member that is listed as running is stopped, as for a job that has ended. Gangs of long-running tasks have no such end.

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -108,13 +108,16 @@
     int place(const task_key &key, worker &target, instant now, int run = 0);
     // Restores the placement of a task that is assigned according to the ledger, after a change of owner.
     void restorePlacement(const task_key &key, instant leaseEnd, instant now);
-    // Returns an assigned task to the waiting state. The run must have stopped for certain without an end of its own.
+    // Returns an assigned task to the waiting state, or marks it as done if its gang is. The run must have stopped for certain
+    // without an end of its own.
     void release(const task_key &key);
     // Applies the end of a run. Returns false when it is not the task's current run on that worker.
     bool applyEnd(const finished_run &finished, const std::string &workerId, wall_ms wall);
     // The task runs at full speed on a worker that answers polls.
     bool isAtFullSpeed(const task_key &key);
     void endJob(job &entry, job_state state, wall_ms wall);
+    // Completes the job if it has not ended and all its tasks are done.
+    void completeIfDone(job &entry, wall_ms wall);
     // Releases runs that are gone because their worker has restarted or its leases have expired.
     void releaseAll(const std::vector<task_key> &keys);
 
@@ -122,6 +125,8 @@
 
 private:
     void unplace(const task_key &key, const task_progress &task);
+    // Sets the phase of a task whose run is gone.
+    void setUnplaced(const task_key &key);
 
     manager_bounds m_bounds;
     std::shared_ptr<const fleet_config> m_config;
--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -43,7 +43,7 @@
     std::vector<int> dependencies;
     // The tasks write checkpoints, from which a later run continues.
     bool savesProgress = false;
-    // Gang scheduling: the tasks of the step start together, or none of them starts.
+    // Gang scheduling: the tasks of the step start together, or none of them starts, and they end as done together.
     bool gang = false;
     // The tasks of a gang should run on one rack.
     bool sameRack = false;
@@ -133,7 +133,7 @@
     bool ended = false;
     // One row per step, with one entry per task.
     std::vector<std::vector<task_progress>> steps;
-    // For each step, the number of tasks that are not done yet.
+    // For each step, the number of tasks that are not done yet. It is 0 for a gang of which one member has ended as done.
     std::vector<int> unfinishedTasks;
 };
 
@@ -215,8 +215,22 @@
     bool stepReady(const occurrence_progress &occurrence, int step) const;
     // Null if the job has no such task.
     task_progress *task(const task_key &key);
+    // The tasks of the step end as done together, so that one such end represents all of them.
+    bool endsTogether(int step) const
+    {
+        return this->step(step).gang && !this->step(step).longRunning;
+    }
+    // True when the task has ended as done, or another member of its gang has.
+    bool isDone(const task_key &key) const;
+    // True when a run of the task is still of use.
+    bool needsRun(const task_key &key) const
+    {
+        return !ended() && !isDone(key);
+    }
+    // Marks the task as done. A gang's other members need no further run: those that wait are marked as done at once, those that are
+    // assigned remain so until their run has left its worker.
     void markDone(const task_key &key);
-    // Marks each occurrence as ended whose tasks are all done. Returns true when the whole job is done.
+    // Marks each occurrence as ended whose tasks are all done and have left their workers. Returns true when the whole job is done.
     bool markFinishedOccurrences();
     // True when at least one task has had a run.
     bool hasStarted() const;
@@ -240,6 +254,7 @@
 private:
     template <typename Predicate> bool anyTask(Predicate predicate) const;
     occurrence_progress &addOccurrence(int number);
+    void markGangDone(occurrence_progress &occurrence, int step) const;
     job_demand computeDemand() const;
 
     job_request m_request;
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -120,8 +120,7 @@
     worker *target = m_workers.find(task.worker);
     const bool restarted = target != nullptr && target->report.startTimeMs > task.startTimeMs;
     if (restarted) {
-        task.phase = task_phase::waiting;
-        markChanged(key.job);
+        setUnplaced(key);
         return;
     }
     if (target == nullptr) {
@@ -166,8 +165,20 @@
         return;
     }
     unplace(key, *task);
-    task->phase = task_phase::waiting;
-    task->worker.clear();
+    setUnplaced(key);
+}
+
+void fleet_model::setUnplaced(const task_key &key)
+{
+    job &owningJob = *find(key.job);
+    if (owningJob.isDone(key)) {
+        owningJob.markDone(key);
+        owningJob.markFinishedOccurrences();
+    } else {
+        task_progress &task = *owningJob.task(key);
+        task.phase = task_phase::waiting;
+        task.worker.clear();
+    }
     markChanged(key.job);
 }
 
@@ -187,19 +198,17 @@
         return false;
     }
     unplace(key, *task);
-    task->phase = task_phase::waiting;
     markChanged(key.job);
-    if (!finished.checkpoint.empty()) {
-        task->checkpoint = finished.checkpoint;
-    }
     const step_spec &step = owningJob->step(key.step);
-    if (finished.outcome == run_outcome::done && !step.longRunning) {
+    if (owningJob->isDone(key) || (finished.outcome == run_outcome::done && !step.longRunning)) {
         owningJob->markDone(key);
-        if (!owningJob->ended() && owningJob->markFinishedOccurrences()) {
-            endJob(*owningJob, job_state::completed, wall);
-        }
+        completeIfDone(*owningJob, wall);
         return true;
     }
+    task->phase = task_phase::waiting;
+    if (!finished.checkpoint.empty()) {
+        task->checkpoint = finished.checkpoint;
+    }
     if (finished.outcome != run_outcome::failed) {
         task->worker.clear();
         return true;
@@ -227,6 +236,14 @@
     return placed != target->runs.end() && placed->second.confirmed && !placed->second.stopping && placed->second.progressPercent >= 100;
 }
 
+void fleet_model::completeIfDone(job &entry, wall_ms wall)
+{
+    const bool done = entry.markFinishedOccurrences();
+    if (done && !entry.ended()) {
+        endJob(entry, job_state::completed, wall);
+    }
+}
+
 void fleet_model::endJob(job &entry, job_state state, wall_ms wall)
 {
     entry.setState(state, wall);
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -86,6 +86,22 @@
     return error == std::errc() && end == text.data() + text.size() && value >= 0;
 }
 
+bool isAssigned(const task_progress &task)
+{
+    return task.phase == task_phase::assigned;
+}
+
+template <typename Predicate> bool anyTaskOf(const occurrence_progress &occurrence, Predicate predicate)
+{
+    return std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+                       [&predicate](const auto &tasks) { return std::any_of(tasks.begin(), tasks.end(), predicate); });
+}
+
+void setDone(task_progress &task)
+{
+    task = { task_phase::done, task.run, task.failures, {}, {}, 0 };
+}
+
 } // namespace
 
 resources &resources::operator+=(const resources &other)
@@ -191,6 +207,10 @@
                 task = jujubespool::fromImage(entry.tasks(next++));
                 added.unfinishedTasks[step] -= task.phase == task_phase::done ? 1 : 0;
             }
+            const int number = static_cast<int>(step);
+            if (restored.endsTogether(number) && added.unfinishedTasks[step] < restored.step(number).count) {
+                restored.markGangDone(added, number);
+            }
         }
     }
     return restored;
@@ -280,12 +300,39 @@
     return key.index < static_cast<int>(tasks.size()) ? &tasks[static_cast<std::size_t>(key.index)] : nullptr;
 }
 
+bool job::isDone(const task_key &key) const
+{
+    const occurrence_progress &occurrence = m_occurrences.at(key.occurrence);
+    const auto step = static_cast<std::size_t>(key.step);
+    if (endsTogether(key.step)) {
+        return occurrence.unfinishedTasks[step] == 0;
+    }
+    return occurrence.steps[step][static_cast<std::size_t>(key.index)].phase == task_phase::done;
+}
+
 void job::markDone(const task_key &key)
 {
     task_progress *entry = task(key);
-    if (entry != nullptr && entry->phase != task_phase::done) {
-        *entry = { task_phase::done, entry->run, entry->failures, {}, {}, 0 };
-        --m_occurrences[key.occurrence].unfinishedTasks[static_cast<std::size_t>(key.step)];
+    if (entry == nullptr || entry->phase == task_phase::done) {
+        return;
+    }
+    setDone(*entry);
+    occurrence_progress &occurrence = m_occurrences[key.occurrence];
+    if (endsTogether(key.step)) {
+        markGangDone(occurrence, key.step);
+    } else {
+        --occurrence.unfinishedTasks[static_cast<std::size_t>(key.step)];
+    }
+}
+
+void job::markGangDone(occurrence_progress &occurrence, int step) const
+{
+    const auto number = static_cast<std::size_t>(step);
+    occurrence.unfinishedTasks[number] = 0;
+    for (task_progress &member : occurrence.steps[number]) {
+        if (member.phase == task_phase::waiting) {
+            setDone(member);
+        }
     }
 }
 
@@ -293,19 +340,18 @@
 {
     bool all = static_cast<int>(m_occurrences.size()) == occurrenceCount();
     for (auto &[number, progress] : m_occurrences) {
-        progress.ended = progress.ended
-            || std::all_of(progress.unfinishedTasks.begin(), progress.unfinishedTasks.end(), [](int count) { return count == 0; });
-        all = all && progress.ended;
+        const std::vector<int> &unfinished = progress.unfinishedTasks;
+        const bool done = progress.ended || std::all_of(unfinished.begin(), unfinished.end(), [](int count) { return count == 0; });
+        progress.ended = progress.ended || (done && !anyTaskOf(progress, isAssigned));
+        all = all && done;
     }
     return all;
 }
 
 template <typename Predicate> bool job::anyTask(Predicate predicate) const
 {
-    return std::any_of(m_occurrences.begin(), m_occurrences.end(), [&predicate](const auto &entry) {
-        return std::any_of(entry.second.steps.begin(), entry.second.steps.end(),
-                           [&predicate](const auto &tasks) { return std::any_of(tasks.begin(), tasks.end(), predicate); });
-    });
+    return std::any_of(m_occurrences.begin(), m_occurrences.end(),
+                       [&predicate](const auto &entry) { return anyTaskOf(entry.second, predicate); });
 }
 
 bool job::hasStarted() const
@@ -319,7 +365,7 @@
 
 bool job::hasAssigned() const
 {
-    return anyTask([](const task_progress &task) { return task.phase == task_phase::assigned; });
+    return anyTask(isAssigned);
 }
 
 std::vector<milliseconds> criticalPaths(const std::vector<step_spec> &steps)
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -110,6 +110,7 @@
     for (const task_key &key : assigned) {
         m_model.restorePlacement(key, leaseEnd, now);
     }
+    m_model.completeIfDone(restored, m_wall);
 }
 
 void job_manager::setConfig(std::shared_ptr<const fleet_config> config, instant now)
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -191,7 +191,7 @@
         if (!running.checkpoint.empty()) {
             owningJob->task(running.task)->checkpoint = running.checkpoint;
         }
-        if (owningJob->ended()) {
+        if (!owningJob->needsRun(running.task)) {
             stop(running.task, now);
         }
     }
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -85,7 +85,7 @@
     if (run == nullptr || run->confirmed || run->stopping) {
         return;
     }
-    if (owningJob->ended() || !m_listener.isOwnershipConfirmed(now)) {
+    if (!owningJob->needsRun(placed.task) || !m_listener.isOwnershipConfirmed(now)) {
         giveUpStart(placed.task, now);
         return;
     }
@@ -138,7 +138,7 @@
         if (!target->pollInFlight) {
             target->nextPollAt = now;
         }
-        if (m_model.find(placed.task.job)->ended()) {
+        if (!m_model.find(placed.task.job)->needsRun(placed.task)) {
             stop(placed.task, now);
         }
         return;
--- /dev/null
+++ b/packages/jobs/test/gang_test.cpp
@@ -0,0 +1,231 @@
+#include <criterion/criterion.h>
+#include <jujubespool/jobs/run_scheduler.h>
+#include <jujubespool/testing/table.h>
+
+namespace {
+
+using namespace jujubespool;
+
+constexpr instant NOW{ seconds(100) };
+constexpr wall_ms WALL = 1800000000000;
+constexpr int MEMBERS = 3;
+const std::string JOB = "00000000000000a1";
+
+worker_report reportOf(int number, std::uint64_t startTimeMs = 1)
+{
+    const std::string id = "w" + std::to_string(number);
+    return { id, id + ":1", "pool", "a", worker_state::ready, { 4000, 8000, 0 }, {}, startTimeMs, {} };
+}
+
+// How the runs of the other members leave their workers after one member's end has been noted.
+enum class departure { listed_done, listed_broken, listed_failed, lost };
+
+// A gang of one task a worker, and a step that depends on it if the test asks for one.
+class gang_fixture
+{
+public:
+    explicit gang_fixture(bool hasSecondStep = false, int maxAttempts = 3)
+    {
+        auto config = std::make_shared<fleet_config>();
+        config->queues.push_back({});
+        config->queues[0].name = "q";
+        config->queues[0].pool = "pool";
+        config->queues[0].maxAttempts = maxAttempts;
+        model.setConfig(config);
+        for (int i = 0; i < MEMBERS; ++i) {
+            addWorker(reportOf(i));
+        }
+        job_request request;
+        request.id = JOB;
+        request.queue = "q";
+        request.team = "team";
+        step_spec gang;
+        gang.count = MEMBERS;
+        gang.taskResources = { 3000, 1000, 0 };
+        gang.gang = true;
+        request.steps.push_back(gang);
+        if (hasSecondStep) {
+            step_spec last;
+            last.count = 1;
+            last.taskResources = { 4000, 1000, 0 };
+            last.dependencies = { 0 };
+            request.steps.push_back(last);
+        }
+        model.add(job::accept(request, WALL));
+    }
+
+    void addWorker(const worker_report &report)
+    {
+        model.workers().update(report, NOW);
+        worker &target = *model.workers().find(report.id);
+        target.polled = true;
+        target.clockKnown = true;
+    }
+    task_key member(int index) const
+    {
+        return { JOB, 0, 0, index };
+    }
+    job &entry()
+    {
+        return *model.find(JOB);
+    }
+    task_progress &task(int index)
+    {
+        return *entry().task(member(index));
+    }
+    std::size_t schedule()
+    {
+        return run_scheduler().decide(model, tickets, NOW, WALL).placements.size();
+    }
+    bool end(int index, run_outcome outcome, const std::string &checkpoint = {})
+    {
+        const task_progress &ended = task(index);
+        return model.applyEnd({ ++m_endNumber, member(index), ended.run, outcome, checkpoint }, ended.worker, WALL);
+    }
+    void leave(int index, departure how)
+    {
+        if (how == departure::lost) {
+            model.release(member(index));
+        } else {
+            end(index,
+                how == departure::listed_done         ? run_outcome::done
+                    : how == departure::listed_broken ? run_outcome::broken
+                                                      : run_outcome::failed);
+        }
+    }
+    // The job as a new owner reads it from the ledger, with the placements that it holds.
+    void takeOver()
+    {
+        const wire::job_image image = entry().toImage();
+        const auto config = std::make_shared<fleet_config>(model.config());
+        model = fleet_model(manager_bounds());
+        model.setConfig(config);
+        for (int i = 0; i < MEMBERS; ++i) {
+            addWorker(reportOf(i));
+        }
+        model.add(job::fromImage(image).value());
+        for (int i = 0; i < MEMBERS; ++i) {
+            if (task(i).phase == task_phase::assigned) {
+                model.restorePlacement(member(i), NOW, NOW);
+            }
+        }
+    }
+    // The resources that the workers are counted to use.
+    resources usedOnWorkers() const
+    {
+        resources used;
+        for (const auto &[id, target] : model.workers().all()) {
+            used += target.used;
+        }
+        return used;
+    }
+
+    fleet_model model{ manager_bounds() };
+    policy_ticket_cache tickets;
+
+private:
+    std::uint64_t m_endNumber = 0;
+};
+
+struct one_end_row
+{
+    const char *name;
+    departure others;
+    bool takenOverBetween;
+};
+
+const one_end_row ONE_END[] = {
+    { "the others end done", departure::listed_done, false },
+    { "the others are broken", departure::listed_broken, false },
+    { "the others fail", departure::listed_failed, false },
+    { "the others are lost", departure::lost, false },
+    { "the others end done after a take-over", departure::listed_done, true },
+    { "the others are lost after a take-over", departure::lost, true },
+};
+
+} // namespace
+
+ParameterizedTestParameters(gang, isDoneOnceOneMemberHasEndedDoneWhateverBecomesOfTheOthers)
+{
+    return rowsOf(ONE_END);
+}
+
+ParameterizedTest(std::size_t *row, gang, isDoneOnceOneMemberHasEndedDoneWhateverBecomesOfTheOthers)
+{
+    const one_end_row &testCase = ONE_END[*row];
+    gang_fixture fixture(true, 1);
+    cr_assert_eq(fixture.schedule(), MEMBERS);
+    fixture.end(1, run_outcome::done);
+    if (testCase.takenOverBetween) {
+        fixture.takeOver();
+    }
+    cr_assert_eq(fixture.schedule(), 1, "%s: the next step starts on the worker whose run has ended", testCase.name);
+    cr_assert_eq(fixture.usedOnWorkers().cpuMillis, 2 * 3000 + 4000, "%s: the other runs still use their workers", testCase.name);
+    fixture.leave(0, testCase.others);
+    fixture.leave(2, testCase.others);
+    for (int i = 0; i < MEMBERS; ++i) {
+        cr_assert_eq(fixture.task(i).phase, task_phase::done, "%s: member %d", testCase.name, i);
+    }
+    cr_assert_eq(fixture.schedule(), 0, "%s", testCase.name);
+    cr_assert_eq(fixture.usedOnWorkers().cpuMillis, 4000, "%s", testCase.name);
+    cr_assert_eq(fixture.model.usage().of("team").cpuMillis, 4000, "%s", testCase.name);
+    cr_assert_eq(fixture.entry().state(), job_state::running, "%s", testCase.name);
+    cr_assert_eq(fixture.entry().occurrences().at(0).unfinishedTasks, std::vector<int>({ 0, 1 }), "%s", testCase.name);
+}
+
+Test(gang, isDoneWhenAMemberEndsDoneAfterTheOthersWereLost)
+{
+    gang_fixture fixture;
+    fixture.schedule();
+    fixture.leave(0, departure::lost);
+    fixture.leave(1, departure::lost);
+    cr_assert_eq(fixture.schedule(), 0);
+    fixture.end(2, run_outcome::done);
+    cr_assert_eq(fixture.entry().state(), job_state::completed);
+    cr_assert(fixture.usedOnWorkers() == resources());
+    cr_assert(fixture.model.usage().of("team") == resources());
+}
+
+Test(gang, completesItsJobAtTheFirstEndAndKeepsTheOtherRunsPlaced)
+{
+    gang_fixture fixture;
+    fixture.schedule();
+    fixture.end(0, run_outcome::done);
+    cr_assert_eq(fixture.entry().state(), job_state::completed);
+    cr_assert_eq(fixture.model.takeEnded().size(), 1);
+    fixture.takeOver();
+    cr_assert_eq(fixture.entry().state(), job_state::completed);
+    cr_assert_eq(fixture.usedOnWorkers().cpuMillis, 2 * 3000);
+    fixture.end(1, run_outcome::done);
+    fixture.leave(2, departure::lost);
+    cr_assert_not(fixture.entry().hasAssigned());
+    cr_assert_eq(fixture.model.takeEnded().size(), 0);
+    cr_assert(fixture.usedOnWorkers() == resources());
+    cr_assert(fixture.model.usage().of("team") == resources());
+}
+
+// Earlier versions wrote the members that were lost as waiting.
+Test(gang, isDoneInAnImageThatHoldsWaitingMembersBesideOneThatIsDone)
+{
+    gang_fixture fixture(true);
+    wire::job_image image = fixture.entry().toImage();
+    image.set_state(static_cast<std::uint32_t>(job_state::running));
+    image.mutable_occurrences(0)->mutable_tasks(1)->set_phase(static_cast<std::uint32_t>(task_phase::done));
+    fixture.model.add(job::fromImage(image).value());
+    cr_assert_eq(fixture.schedule(), 1, "the next step starts");
+    cr_assert_eq(fixture.task(0).phase, task_phase::done);
+}
+
+Test(gang, startsAgainAsAWholeWhenNoMemberHasEndedDone)
+{
+    gang_fixture fixture;
+    fixture.schedule();
+    fixture.leave(0, departure::lost);
+    fixture.leave(1, departure::listed_broken);
+    cr_assert_eq(fixture.schedule(), 0);
+    fixture.leave(2, departure::listed_broken);
+    cr_assert_eq(fixture.schedule(), MEMBERS);
+    for (int i = 0; i < MEMBERS; ++i) {
+        cr_assert_eq(fixture.task(i).run, 2, "member %d", i);
+    }
+}
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -515,3 +515,29 @@
     cr_assert(fleet.sessions.at("entry-1")->active());
     cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "2"), 200);
 }
+
+// An earlier version may have noted the end of one member and then lost the others.
+Test(ownership, completesAJobWhoseGangHasOneMemberThatIsDone)
+{
+    job_request request;
+    request.id = FIRST_JOB;
+    request.queue = configWithOneQueue().queues[0].name;
+    step_spec step;
+    step.count = 2;
+    step.taskResources = { 1000, 1000, 0 };
+    step.gang = true;
+    request.steps.push_back(step);
+    wire::job_image image = job::accept(request, 0).toImage();
+    image.set_state(static_cast<std::uint32_t>(job_state::running));
+    image.mutable_occurrences(0)->mutable_tasks(0)->set_phase(static_cast<std::uint32_t>(task_phase::done));
+    fleet_fixture fleet;
+    const auto ignore = [](const ledger_append_result &, instant) {
+    };
+    fleet.platform.clientsOf("operator").feeds.put(feed::ledger, { "job/" + FIRST_JOB, image.SerializeAsString() }, ignore);
+    fleet.platform.advance(milliseconds(100));
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    cr_assert(fleet.sessions.at("entry-1")->active());
+    cr_assert_eq(fleet.log.events["job-changed"], 1, "the job has ended");
+    cr_assert_eq(fleet.log.events["start"], 0, "nothing was started");
+}
