Count one failed run of a gang as one attempt of the gang

What callers would see: a gang whose members failed in turn was started more often than the queue's attempts allow, and its job was shown as running instead of failed.

Cause: each member counted the runs that it had failed itself. A gang's run fails with the first member that fails, and the others end as broken, so the attempts of the gang were spread over its members.

Evidence that the test failed before: gang::countsEachRunInWhichAnyMemberFailsAsOneAttempt, rows "another member fails each time" and "different members fail in each run" (the state was running instead of failed). The rows with several failing members in one run guard against counting one run twice; they passed before.

Fix: before a gang starts, all its members take over the highest count among them. Several failures in one run raise their own counts from the same base, so that the highest count is the number of failed runs.

--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -99,7 +99,8 @@
     task_phase phase = task_phase::waiting;
     // Number of the latest run; 0 before the first run.
     int run = 0;
-    // Number of runs that the task itself failed, as opposed to runs that were stopped or lost.
+    // Number of runs that the task itself failed, as opposed to runs that were stopped or lost. For a member of a gang, this is the
+    // number of earlier runs that any member failed, and the present one if this member has failed it.
     int failures = 0;
     // Latest checkpoint; empty if there is none.
     std::string checkpoint;
@@ -227,6 +228,8 @@
     {
         return !ended() && !isDone(key);
     }
+    // Prepares the next run of the step's gang: a run that any member failed is an attempt of each of them.
+    void alignGang(const task_key &key);
     // Marks the task as done. A gang's other members need no further run: those that wait are marked as done at once, those that are
     // assigned remain so until their run has left its worker.
     void markDone(const task_key &key);
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -310,6 +310,18 @@
     return occurrence.steps[step][static_cast<std::size_t>(key.index)].phase == task_phase::done;
 }
 
+void job::alignGang(const task_key &key)
+{
+    std::vector<task_progress> &members = m_occurrences.at(key.occurrence).steps[static_cast<std::size_t>(key.step)];
+    int failures = 0;
+    for (const task_progress &member : members) {
+        failures = std::max(failures, member.failures);
+    }
+    for (task_progress &member : members) {
+        member.failures = failures;
+    }
+}
+
 void job::markDone(const task_key &key)
 {
     task_progress *entry = task(key);
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -189,6 +189,7 @@
         if (static_cast<int>(waiting.size()) < step.count) {
             return;
         }
+        current.alignGang(waiting.front());
         int run = 0;
         for (const task_key &key : waiting) {
             run = std::max(run, current.task(key)->run + 1);
--- a/packages/jobs/test/gang_test.cpp
+++ b/packages/jobs/test/gang_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <jujubespool/jobs/run_scheduler.h>
 #include <jujubespool/testing/table.h>
@@ -143,6 +144,23 @@
     { "the others are lost after a take-over", departure::lost, true },
 };
 
+struct attempts_row
+{
+    const char *name;
+    // The members that fail in each run; the others are broken.
+    std::vector<std::vector<int>> failingMembers;
+    int maxAttempts;
+    job_state expected;
+};
+
+const attempts_row ATTEMPTS[] = {
+    { "the same member fails each time", { { 0 }, { 0 } }, 2, job_state::failed },
+    { "another member fails each time", { { 0 }, { 1 }, { 2 } }, 3, job_state::failed },
+    { "several members fail in one run", { { 0, 1, 2 } }, 2, job_state::running },
+    { "several members fail in one run and one in the next", { { 0, 1, 2 }, { 1 } }, 3, job_state::running },
+    { "different members fail in each run", { { 0, 1 }, { 2 }, { 1 } }, 3, job_state::failed },
+};
+
 } // namespace
 
 ParameterizedTestParameters(gang, isDoneOnceOneMemberHasEndedDoneWhateverBecomesOfTheOthers)
@@ -229,3 +247,24 @@
         cr_assert_eq(fixture.task(i).run, 2, "member %d", i);
     }
 }
+
+ParameterizedTestParameters(gang, countsEachRunInWhichAnyMemberFailsAsOneAttempt)
+{
+    return rowsOf(ATTEMPTS);
+}
+
+ParameterizedTest(std::size_t *row, gang, countsEachRunInWhichAnyMemberFailsAsOneAttempt)
+{
+    const attempts_row &testCase = ATTEMPTS[*row];
+    gang_fixture fixture(false, testCase.maxAttempts);
+    for (const std::vector<int> &failing : testCase.failingMembers) {
+        cr_assert_eq(fixture.schedule(), MEMBERS, "%s", testCase.name);
+        for (int i = 0; i < MEMBERS; ++i) {
+            fixture.leave(i, std::count(failing.begin(), failing.end(), i) > 0 ? departure::listed_failed : departure::listed_broken);
+        }
+        if (!fixture.entry().ended()) {
+            fixture.takeOver();
+        }
+    }
+    cr_assert_eq(fixture.entry().state(), testCase.expected, "%s", testCase.name);
+}
