Start all members of a gang from one checkpoint

What callers would see: a gang that was restarted after a partial loss was told different checkpoints, or none for a member whose last end had not been reported, although all members must carry the same value. Work that one member had saved was done again.

Cause: each member kept and sent its own checkpoint.

Evidence that the tests failed before: gang::startsAllMembersFromTheCheckpointThatAnyMemberBroughtLast, checkpoint of "member 0" gang::startsAllMembersAlikeWhenTheImageHoldsDifferentProgress, checkpoint of "member 0" Both also check that the run number of all members is one, and higher than each earlier one (that held before).

Fix: a checkpoint that a worker reports for a member counts for the whole gang, which it is valid for, so the one that came last is used.

--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -228,8 +228,11 @@
     {
         return !ended() && !isDone(key);
     }
-    // Prepares the next run of the step's gang: a run that any member failed is an attempt of each of them.
+    // Prepares the next run of the step's gang: a run that any member failed is an attempt of each of them, and all have the same
+    // checkpoint.
     void alignGang(const task_key &key);
+    // Sets the checkpoint from which the next run of the task continues, or of all tasks of its gang. An empty one has no effect.
+    void setCheckpoint(const task_key &key, const std::string &checkpoint);
     // Marks the task as done. A gang's other members need no further run: those that wait are marked as done at once, those that are
     // assigned remain so until their run has left its worker.
     void markDone(const task_key &key);
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -206,9 +206,7 @@
         return true;
     }
     task->phase = task_phase::waiting;
-    if (!finished.checkpoint.empty()) {
-        task->checkpoint = finished.checkpoint;
-    }
+    owningJob->setCheckpoint(key, finished.checkpoint);
     if (finished.outcome != run_outcome::failed) {
         task->worker.clear();
         return true;
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -314,11 +314,29 @@
 {
     std::vector<task_progress> &members = m_occurrences.at(key.occurrence).steps[static_cast<std::size_t>(key.step)];
     int failures = 0;
+    std::string checkpoint;
     for (const task_progress &member : members) {
         failures = std::max(failures, member.failures);
+        checkpoint = checkpoint.empty() ? member.checkpoint : checkpoint;
     }
     for (task_progress &member : members) {
         member.failures = failures;
+        member.checkpoint = checkpoint;
+    }
+}
+
+void job::setCheckpoint(const task_key &key, const std::string &checkpoint)
+{
+    task_progress *entry = task(key);
+    if (checkpoint.empty() || entry == nullptr || entry->checkpoint == checkpoint || isDone(key)) {
+        return;
+    }
+    if (!step(key.step).gang) {
+        entry->checkpoint = checkpoint;
+        return;
+    }
+    for (task_progress &member : m_occurrences.at(key.occurrence).steps[static_cast<std::size_t>(key.step)]) {
+        member.checkpoint = checkpoint;
     }
 }
 
--- a/packages/jobs/test/gang_test.cpp
+++ b/packages/jobs/test/gang_test.cpp
@@ -268,3 +268,33 @@
     }
     cr_assert_eq(fixture.entry().state(), testCase.expected, "%s", testCase.name);
 }
+
+Test(gang, startsAllMembersFromTheCheckpointThatAnyMemberBroughtLast)
+{
+    gang_fixture fixture;
+    fixture.schedule();
+    fixture.end(0, run_outcome::broken, "checkpoint-1");
+    fixture.end(2, run_outcome::broken, "checkpoint-2");
+    fixture.leave(1, departure::lost);
+    cr_assert_eq(fixture.schedule(), MEMBERS);
+    for (int i = 0; i < MEMBERS; ++i) {
+        cr_assert_str_eq(fixture.task(i).checkpoint.c_str(), "checkpoint-2", "member %d", i);
+        cr_assert_eq(fixture.task(i).run, 2, "member %d", i);
+    }
+}
+
+// Earlier versions wrote the progress of each member by itself.
+Test(gang, startsAllMembersAlikeWhenTheImageHoldsDifferentProgress)
+{
+    gang_fixture fixture;
+    wire::job_image image = fixture.entry().toImage();
+    image.mutable_occurrences(0)->mutable_tasks(1)->set_checkpoint("checkpoint-1");
+    image.mutable_occurrences(0)->mutable_tasks(1)->set_run(7);
+    image.mutable_occurrences(0)->mutable_tasks(2)->set_run(4);
+    fixture.model.add(job::fromImage(image).value());
+    cr_assert_eq(fixture.schedule(), MEMBERS);
+    for (int i = 0; i < MEMBERS; ++i) {
+        cr_assert_str_eq(fixture.task(i).checkpoint.c_str(), "checkpoint-1", "member %d", i);
+        cr_assert_eq(fixture.task(i).run, 8, "member %d", i);
+    }
+}
