Place a gang only after all its tasks are known to fit

What callers would see: behind a gang that did not fit, jobs with tasks of the same size got nothing, in each pass, however many workers were free. The job of such a gang was written to the ledger in each pass and shown as running although none of its tasks had started.

Cause: the scheduler placed the tasks of a gang one by one and took them back when one did not fit. The size of that one stayed noted as not fitting, although the free capacity had grown again, and each placement marks the job as changed and running.

Fix: the tasks of a gang are alike, so each worker can hold a number of them that does not depend on the others. The gang fits if these numbers add up to its size, on one rack or on all workers; this takes one pass over the workers instead of one for each task and each rack. Only then are its tasks placed, and none has to be taken back. What does not fit is noted with the number of tasks that are needed at once, so that a gang shuts out only gangs that need as much; gangs now profit from the note, too. The team's maximum is checked for the whole gang.

--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <jujubespool/jobs/placement.h>
+#include <jujubespool/jobs/gang_placement.h>
 #include <jujubespool/jobs/team_shares.h>
 #include <tuple>
 #include <unordered_map>
@@ -54,12 +54,30 @@
     }
 
 private:
-    // The workers of a pool that accept new tasks, and the sizes of tasks that did not fit on any of them in this pass.
+    // Tasks of this size that did not fit at the same time: one task, or all tasks of a gang.
+    struct rejected_size
+    {
+        resources need;
+        int count = 1;
+    };
+
+    static int countNeededAtOnce(const step_spec &step)
+    {
+        return step.gang ? step.count : 1;
+    }
+
+    // True when nothing but the free capacity of the pool's workers decides whether a task of the step can be placed.
+    static bool needsOnlyCapacity(const step_spec &step, const queue_config &queue)
+    {
+        return step.maxPerWorker == 0 && step.requiredLabel.empty() && !queue.policy && !step.bestEffort;
+    }
+
+    // The workers of a pool that accept new tasks, and the sizes of tasks and gangs that did not fit on them in this pass.
     struct pool_workers
     {
         std::vector<worker *> workers;
         std::set<std::string> dataCenters;
-        std::vector<resources> rejected;
+        std::vector<rejected_size> rejected;
 
         // All steps of a job get the same data centre unless a data centre is lost. The jobs are spread evenly.
         std::string preferredDataCenterOf(const std::string &job) const
@@ -71,12 +89,12 @@
             return *std::next(dataCenters.begin(), index);
         }
 
-        // Free capacity only shrinks during a pass, so a task does not fit if it needs at least as much as an earlier task that did
-        // not fit.
+        // Free capacity only shrinks during a pass, so a task or a gang does not fit if it needs at least as much as an earlier one
+        // that did not fit.
         bool isKnownNotToFit(const step_spec &step) const
         {
-            return !step.bestEffort && std::any_of(rejected.begin(), rejected.end(), [&](const resources &failed) {
-                return failed.fitsIn(step.taskResources);
+            return !step.bestEffort && std::any_of(rejected.begin(), rejected.end(), [&](const rejected_size &failed) {
+                return failed.need.fitsIn(step.taskResources) && failed.count <= countNeededAtOnce(step);
             });
         }
     };
@@ -84,7 +102,7 @@
     void scheduleStep(job &current, const queue_config &queue, const task_key &first)
     {
         const step_spec &step = current.step(first.step);
-        if (!step.gang && !queue.policy && m_pools[queue.pool].isKnownNotToFit(step)) {
+        if (!queue.policy && m_pools[queue.pool].isKnownNotToFit(step)) {
             return;
         }
         std::vector<task_key> waiting;
@@ -104,7 +122,7 @@
             return;
         }
         for (const task_key &key : waiting) {
-            if (!placeTask(current, queue, key, 0, {})) {
+            if (!teamMayRun(current, step, 1) || !placeTask(current, queue, key, 0, {})) {
                 break;
             }
         }
@@ -150,26 +168,29 @@
         return request;
     }
 
+    // True when the team's maximum allows this many more tasks of the step.
+    bool teamMayRun(const job &current, const step_spec &step, int count) const
+    {
+        const auto team = m_model.config().teams.find(current.request().team);
+        const resources one = fleet_model::resourcesOf(step);
+        const resources all{ one.cpuMillis * count, one.memoryMb * count, one.gpus * count };
+        return team == m_model.config().teams.end() || m_model.usage().allows(team->second, all);
+    }
+
     bool placeTask(job &current, const queue_config &queue, const task_key &key, int run, const std::string &rack)
     {
         const step_spec &step = current.step(key.step);
-        const auto team = m_model.config().teams.find(current.request().team);
-        if (team != m_model.config().teams.end() && !m_model.usage().allows(team->second, fleet_model::resourcesOf(step))) {
-            return false;
-        }
         placement_request request = requestFor(current, queue, key);
         request.rack = rack;
         pool_workers &pool = m_pools[queue.pool];
         request.preferredDataCenter = pool.preferredDataCenterOf(key.job);
-        const bool hasNoFurtherConditions
-            = step.maxPerWorker == 0 && step.requiredLabel.empty() && rack.empty() && !queue.policy && !step.bestEffort;
         if (pool.isKnownNotToFit(step)) {
             return false;
         }
         worker *target = chooseWorker(pool.workers, request, m_now);
         if (target == nullptr) {
-            if (hasNoFurtherConditions) {
-                pool.rejected.push_back(step.taskResources);
+            if (needsOnlyCapacity(step, queue)) {
+                pool.rejected.push_back({ step.taskResources, 1 });
             }
             return false;
         }
@@ -186,7 +207,15 @@
     void placeGang(job &current, const queue_config &queue, const std::vector<task_key> &waiting)
     {
         const step_spec &step = current.step(waiting.front().step);
-        if (static_cast<int>(waiting.size()) < step.count) {
+        if (static_cast<int>(waiting.size()) < step.count || !teamMayRun(current, step, step.count)) {
+            return;
+        }
+        pool_workers &pool = m_pools[queue.pool];
+        const std::optional<std::string> rack = rackForGang(pool.workers, requestFor(current, queue, waiting.front()), m_now);
+        if (!rack) {
+            if (needsOnlyCapacity(step, queue)) {
+                pool.rejected.push_back({ step.taskResources, step.count });
+            }
             return;
         }
         current.alignGang(waiting.front());
@@ -194,41 +223,10 @@
         for (const task_key &key : waiting) {
             run = std::max(run, current.task(key)->run + 1);
         }
-        for (const std::string &rack : racksForGang(step, queue)) {
-            const std::size_t before = m_result.placements.size();
-            const bool allPlaced = std::all_of(waiting.begin(), waiting.end(),
-                                               [&](const task_key &key) { return placeTask(current, queue, key, run, rack); });
-            if (allPlaced) {
-                return;
-            }
-            while (m_result.placements.size() > before) {
-                undoPlacement(current, m_result.placements.back().task);
-                m_result.placements.pop_back();
-            }
-        }
-    }
-
-    void undoPlacement(job &current, const task_key &key)
-    {
-        const int run = current.task(key)->run;
-        m_model.release(key);
-        current.task(key)->run = run - 1;
-    }
-
-    // Racks to try in turn for a gang that should run on one rack. The last entry is empty and means any rack.
-    std::vector<std::string> racksForGang(const step_spec &step, const queue_config &queue) const
-    {
-        std::vector<std::string> racks;
-        if (step.sameRack) {
-            std::set<std::string> addedRacks;
-            for (const auto &[id, target] : m_model.workers().all()) {
-                if (target.report.pool == queue.pool && addedRacks.insert(target.rack()).second) {
-                    racks.push_back(target.rack());
-                }
-            }
+        // Each task finds a worker, because all of them fit.
+        for (const task_key &key : waiting) {
+            placeTask(current, queue, key, run, *rack);
         }
-        racks.emplace_back();
-        return racks;
     }
 
     fleet_model &m_model;
--- a/packages/jobs/test/gang_test.cpp
+++ b/packages/jobs/test/gang_test.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <jujubespool/jobs/placement.h>
 #include <jujubespool/jobs/run_scheduler.h>
 #include <jujubespool/testing/table.h>
+#include <random>
 
 namespace {
 
@@ -161,6 +163,87 @@
     { "different members fail in each run", { { 0, 1 }, { 2 }, { 1 } }, 3, job_state::failed },
 };
 
+// Workers that hold one task each, two on a rack except on "r0" with four, and jobs of one step, in the order of their identifiers.
+class crowded_fixture
+{
+public:
+    static constexpr std::int64_t TASK_CPU_MILLIS = 3000;
+
+    explicit crowded_fixture(int workers, std::int64_t teamLimit = 0)
+    {
+        auto config = std::make_shared<fleet_config>();
+        config->queues.push_back({});
+        config->queues[0].name = "q";
+        config->queues[0].pool = "pool";
+        config->teams["team"].name = "team";
+        config->teams["team"].limit = { teamLimit, 0, 0 };
+        model.setConfig(config);
+        for (int i = 0; i < workers; ++i) {
+            worker_report report = reportOf(i);
+            report.labels = { "kind", "r" + std::to_string(i < workers - 4 ? 1 + i / 2 : 0) };
+            model.workers().update(report, NOW);
+            worker &target = *model.workers().find(report.id);
+            target.polled = true;
+            target.clockKnown = true;
+        }
+    }
+
+    static step_spec tasks(int count)
+    {
+        step_spec step;
+        step.count = count;
+        step.taskResources = { TASK_CPU_MILLIS, 1000, 0 };
+        return step;
+    }
+    static step_spec gangOf(int count)
+    {
+        step_spec step = tasks(count);
+        step.gang = true;
+        return step;
+    }
+    void submit(const std::string &id, const step_spec &step)
+    {
+        job_request request;
+        request.id = id;
+        request.queue = "q";
+        request.team = "team";
+        request.steps.push_back(step);
+        model.add(job::accept(request, WALL));
+    }
+    void schedule()
+    {
+        lastPlacements = run_scheduler().decide(model, tickets, NOW, WALL).placements.size();
+    }
+    int countAssigned(const std::string &id)
+    {
+        const auto &members = model.find(id)->occurrences().at(0).steps[0];
+        return static_cast<int>(
+            std::count_if(members.begin(), members.end(), [](const task_progress &task) { return task.phase == task_phase::assigned; }));
+    }
+
+    // Number of waiting tasks, except those of gangs, for which a worker has room.
+    int countTasksThatFit()
+    {
+        int count = 0;
+        for (const auto &[id, waiting] : model.activeJobs()) {
+            const step_spec &step = waiting->step(0);
+            const placement_request request{ { id, 0, 0, 0 }, &step, "pool", {}, {}, {}, {} };
+            const bool fits = std::any_of(model.workers().all().begin(), model.workers().all().end(),
+                                          [&](const auto &entry) { return isEligible(entry.second, request, NOW); });
+            count += fits && !step.gang ? step.count - countAssigned(id) : 0;
+        }
+        return count;
+    }
+
+    fleet_model model{ manager_bounds() };
+    std::size_t lastPlacements = 0;
+
+private:
+    policy_ticket_cache tickets;
+};
+
+const std::uint64_t SEEDS[] = { 1, 2, 3, 4, 5, 6, 7, 8 };
+
 } // namespace
 
 ParameterizedTestParameters(gang, isDoneOnceOneMemberHasEndedDoneWhateverBecomesOfTheOthers)
@@ -298,3 +381,101 @@
         cr_assert_eq(fixture.task(i).run, 8, "member %d", i);
     }
 }
+
+Test(gang, thatDoesNotFitTakesNothingFromTheJobsAfterIt)
+{
+    crowded_fixture fixture(6);
+    fixture.submit("00000000000000a1", crowded_fixture::gangOf(7));
+    fixture.submit("00000000000000b1", crowded_fixture::tasks(2));
+    fixture.schedule();
+    cr_assert_eq(fixture.countAssigned("00000000000000a1"), 0);
+    cr_assert_eq(fixture.countAssigned("00000000000000b1"), 2);
+}
+
+Test(gang, thatDoesNotFitIsNeitherShownAsRunningNorWritten)
+{
+    crowded_fixture fixture(6);
+    fixture.submit("00000000000000a1", crowded_fixture::gangOf(7));
+    fixture.model.takeChanged();
+    fixture.schedule();
+    cr_assert_eq(fixture.model.takeChanged().size(), 0);
+    cr_assert_eq(fixture.model.find("00000000000000a1")->state(), job_state::queued);
+    cr_assert_eq(fixture.model.find("00000000000000a1")->hasStarted(), false);
+}
+
+Test(gang, thatDoesNotFitShutsOutOnlyGangsThatNeedAsMuch)
+{
+    crowded_fixture fixture(6);
+    fixture.submit("00000000000000a1", crowded_fixture::gangOf(7));
+    fixture.submit("00000000000000b1", crowded_fixture::gangOf(8));
+    fixture.submit("00000000000000c1", crowded_fixture::gangOf(6));
+    fixture.schedule();
+    cr_assert_eq(fixture.countAssigned("00000000000000b1"), 0);
+    cr_assert_eq(fixture.countAssigned("00000000000000c1"), 6);
+}
+
+Test(gang, startsOnlyIfItsTeamMayRunAllMembers)
+{
+    crowded_fixture fixture(6, 5 * crowded_fixture::TASK_CPU_MILLIS);
+    fixture.submit("00000000000000a1", crowded_fixture::gangOf(6));
+    fixture.submit("00000000000000b1", crowded_fixture::tasks(5));
+    fixture.schedule();
+    cr_assert_eq(fixture.countAssigned("00000000000000a1"), 0);
+    cr_assert_eq(fixture.countAssigned("00000000000000b1"), 5);
+}
+
+Test(gang, runsOnOneRackIfOneHoldsAllItsMembers)
+{
+    crowded_fixture fixture(7);
+    step_spec step = crowded_fixture::gangOf(4);
+    step.sameRack = true;
+    fixture.submit("00000000000000a1", step);
+    fixture.schedule();
+    for (const auto &[id, target] : fixture.model.workers().all()) {
+        cr_assert_eq(target.runs.size(), target.rack() == "r0" ? 1 : 0, "%s", id.c_str());
+    }
+}
+
+ParameterizedTestParameters(gang, isPlacedAsAWholeOrNotAtAll)
+{
+    return rowsOf(SEEDS);
+}
+
+// Random gangs and tasks on random workers. Nothing that fits at the end of a pass may have been left waiting.
+ParameterizedTest(std::size_t *row, gang, isPlacedAsAWholeOrNotAtAll)
+{
+    constexpr int ROUNDS = 40;
+    std::mt19937_64 random(SEEDS[*row]);
+    for (int round = 0; round < ROUNDS; ++round) {
+        crowded_fixture fixture(2 + static_cast<int>(random() % 10));
+        std::vector<std::string> gangs;
+        for (int number = 0; number < 12; ++number) {
+            const int count = 1 + static_cast<int>(random() % 9);
+            const bool isGang = random() % 2 == 0;
+            step_spec step = isGang ? crowded_fixture::gangOf(count) : crowded_fixture::tasks(count);
+            step.taskResources.cpuMillis = 500 * (1 + static_cast<std::int64_t>(random() % 8));
+            step.taskResources.memoryMb = 500 * static_cast<std::int64_t>(random() % 10);
+            step.sameRack = random() % 2 == 0;
+            step.maxPerWorker = static_cast<int>(random() % 4);
+            step.bestEffort = random() % 5 == 0;
+            const std::string id = "00000000000000" + std::to_string(10 + number);
+            fixture.submit(id, step);
+            if (isGang) {
+                gangs.push_back(id);
+            }
+        }
+        fixture.schedule();
+        for (const std::string &id : gangs) {
+            const int assigned = fixture.countAssigned(id);
+            const int count = fixture.model.find(id)->step(0).count;
+            cr_assert(assigned == 0 || assigned == count, "seed %lu round %d job %s: %d of %d", SEEDS[*row], round, id.c_str(), assigned,
+                      count);
+        }
+        cr_assert_eq(fixture.countTasksThatFit(), 0, "seed %lu round %d", SEEDS[*row], round);
+        fixture.schedule();
+        cr_assert_eq(fixture.lastPlacements, 0, "seed %lu round %d", SEEDS[*row], round);
+        for (const auto &[id, target] : fixture.model.workers().all()) {
+            cr_assert(target.used.fitsIn(target.report.capacity), "seed %lu round %d", SEEDS[*row], round);
+        }
+    }
+}
