Test of a gang that smaller tasks keep waiting, known to fail

Six workers hold one task each; a gang of four comes first in the order. In each of 200 rounds one task ends and another is submitted, which takes the free worker in the same pass, because the gang does not fit yet. Nothing reserves workers for it, so it waits until the load falls or the pool grows.

--- a/packages/jobs/test/gang_test.cpp
+++ b/packages/jobs/test/gang_test.cpp
@@ -221,6 +221,14 @@
             std::count_if(members.begin(), members.end(), [](const task_progress &task) { return task.phase == task_phase::assigned; }));
     }
 
+    void endOneRunOn(const std::string &id)
+    {
+        const auto &runs = model.workers().find(id)->runs;
+        if (!runs.empty()) {
+            const finished_run finished{ 1, runs.begin()->first, runs.begin()->second.run, run_outcome::done, {} };
+            model.applyEnd(finished, id, WALL);
+        }
+    }
     // Number of waiting tasks, except those of gangs, for which a worker has room.
     int countTasksThatFit()
     {
@@ -479,3 +487,23 @@
         }
     }
 }
+
+// The gang comes first in the order, but each worker that becomes free is taken by a later task before enough of them are free.
+Test(gang, startsInTheEndAlthoughSmallerTasksKeepComing)
+{
+    constexpr int WORKERS = 6;
+    constexpr int ROUNDS = 200;
+    crowded_fixture fixture(WORKERS);
+    int next = 0;
+    for (; next < WORKERS; ++next) {
+        fixture.submit("00000000000000" + std::to_string(100 + next), crowded_fixture::tasks(1));
+    }
+    fixture.schedule();
+    fixture.submit("0000000000000001", crowded_fixture::gangOf(4));
+    for (int round = 0; round < ROUNDS && fixture.countAssigned("0000000000000001") == 0; ++round, ++next) {
+        fixture.endOneRunOn("w" + std::to_string(round % WORKERS));
+        fixture.submit("00000000000000" + std::to_string(100 + next), crowded_fixture::tasks(1));
+        fixture.schedule();
+    }
+    cr_assert_eq(fixture.countAssigned("0000000000000001"), 4);
+}
