--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -44,7 +44,7 @@
     std::vector<int> dependencies;
     // The tasks write checkpoints, from which a later run continues.
     bool savesProgress = false;
-    // Gang scheduling: the tasks of the step start together, or none of them starts.
+    // Gang scheduling: the tasks of the step start together, or none of them starts, and they end as done together.
     bool gang = false;
     // The tasks of a gang should run on one rack.
     bool sameRack = false;
@@ -100,7 +100,8 @@
     task_phase phase = task_phase::waiting;
     // Number of the latest run; 0 before the first run.
     int run = 0;
-    // Number of runs that the task itself failed, as opposed to runs that were stopped or lost.
+    // Number of runs that the task itself failed, as opposed to runs that were stopped or lost. For a member of a gang, this is the
+    // number of earlier runs that any member failed, and the present one if this member has failed it.
     int failures = 0;
     // Latest checkpoint; empty if there is none.
     std::string checkpoint;
@@ -136,7 +137,7 @@
     bool ended = false;
     // One row per step, with one entry per task.
     std::vector<std::vector<task_progress>> steps;
-    // For each step, the number of tasks that are not done yet.
+    // For each step, the number of tasks that are not done yet. It is 0 for a gang of which one member has ended as done.
     std::vector<int> unfinishedTasks;
 };
 
@@ -218,8 +219,27 @@
     bool stepReady(const occurrence_progress &occurrence, int step) const;
     // Null if the job has no such task.
     task_progress *task(const task_key &key);
+    // The tasks of the step end as done together, so that one such end represents all of them.
+    bool endsTogether(int step) const
+    {
+        return this->step(step).gang && !this->step(step).longRunning;
+    }
+    // True when the task has ended as done, or another member of its gang has.
+    bool isDone(const task_key &key) const;
+    // True when a run of the task is still of use.
+    bool needsRun(const task_key &key) const
+    {
+        return !ended() && !isDone(key);
+    }
+    // Prepares the next run of the step's gang: a run that any member failed is an attempt of each of them, and all have the same
+    // checkpoint.
+    void alignGang(const task_key &key);
+    // Sets the checkpoint from which the next run of the task continues, or of all tasks of its gang. An empty one has no effect.
+    void setCheckpoint(const task_key &key, const std::string &checkpoint);
+    // Marks the task as done. A gang's other members need no further run: those that wait are marked as done at once, those that are
+    // assigned remain so until their run has left its worker.
     void markDone(const task_key &key);
-    // Marks each occurrence as ended whose tasks are all done. Returns true when the whole job is done.
+    // Marks each occurrence as ended whose tasks are all done and have left their workers. Returns true when the whole job is done.
     bool markFinishedOccurrences();
     // True when at least one task has had a run.
     bool hasStarted() const;
@@ -243,6 +263,7 @@
 private:
     template <typename Predicate> bool anyTask(Predicate predicate) const;
     occurrence_progress &addOccurrence(int number);
+    void markGangDone(occurrence_progress &occurrence, int step) const;
     job_demand computeDemand() const;
 
     job_request m_request;
