Bound the answers of the policy service to incarnations and steps

What a caller could see: a task on a queue with a placement policy waited for ever although a worker could run it. A denial was kept for the id of a worker, but after a restart the worker under that id may be of another kind, which the policy allows. An answer to a request that was sent before the restart counted for the new incarnation as well: its denial for good, its ticket until the worker rejected it. After an answer without tickets (overload, time-out) the step was requested again at once, without a pause, which keeps an overloaded service overloaded. The answers of ended steps were never dropped.

Failed before (same cases with the former signatures): denialEndsWithTheIncarnationOfTheWorker: 0 tasks placed on the new incarnation answerHoldsForTheIncarnationThatWasListedWhenItWasRequested: placed with the ticket of the former incarnation serviceWithoutAnAnswerIsAskedLessAndLessOften: 1000 requests in 10 s ticketWithoutAValidityOfItsOwnHasThatOfTheQueue: ticketFor(...) is null workersThatWereDeniedAreNotAskedAgain passed before and guards the other side; the case of dropped answers needs the new interface.

Now a request records the incarnations that were listed when it was made, and its answer holds for these alone; a denial is stored with the start time, like a ticket. Without a usable answer the step waits 100 ms, doubling up to 1.6 s, and a timer repeats the scheduling. Once a second, steps without unfinished tasks and ended incarnations are dropped. A pending request needs no bound of its own: the gateway reports a time-out after two seconds, so it is always cleared. An answer without a validity gets that of the queue.

--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -113,6 +113,8 @@
     void writeChanged();
     void onJobEnded(const std::string &id);
     void requestTickets(const ticket_request &request);
+    // Whether the step, in the form "job.occurrence.step", still has tasks that are not done.
+    bool isStepUnfinished(const std::string &step) const;
     void stopRuns(const std::string &id, instant now);
     void removeExpiredJobs(wall_ms wall);
     void restoreWave(const std::string &name, const std::string &value);
--- a/packages/jobs/include/jujubespool/jobs/policy_ticket_cache.h
+++ b/packages/jobs/include/jujubespool/jobs/policy_ticket_cache.h
@@ -3,11 +3,11 @@
 //     policy_ticket_cache tickets;
 //     const std::string *ticket = tickets.ticketFor("5c0e.0.1", worker, now);
 //
-// A ticket is valid for one step on one incarnation of a worker until its validity time has passed.
+// A ticket is valid for one step on one incarnation of a worker until its validity time has passed. A denial holds for one
+// incarnation as well: after a restart the worker may be of another kind.
 #pragma once
 
 #include <jujubespool/jobs/gateways.h>
-#include <set>
 
 namespace jujubespool {
 
@@ -28,21 +28,33 @@
 public:
     // Returns null when there is no valid ticket for the worker's current incarnation.
     const std::string *ticketFor(const std::string &step, const worker &target, instant now) const;
-    // The policy service has answered that this worker may not run the step.
-    bool isDenied(const std::string &step, const std::string &workerId) const;
+    // The policy service has answered that this incarnation of the worker may not run the step.
+    bool isDenied(const std::string &step, const worker &target) const;
     bool isRequestPending(const std::string &step) const
     {
         return m_pendingRequests.count(step) > 0;
     }
+    // False while a request is pending, and for a while after the policy service gave no usable answer for the step.
+    bool mayRequest(const std::string &step, instant now) const;
     std::size_t requestsInFlight() const
     {
         return m_pendingRequests.size();
     }
-    void recordRequest(const std::string &step);
-    void recordResponse(const ticket_request &request, const ticket_response &response, const worker_registry &workers, instant now);
+    // The answer will hold for the incarnations that the workers have now.
+    void recordRequest(const ticket_request &request, const worker_registry &workers);
+    // Returns the time until the step may be requested again; 0 after a usable answer.
+    milliseconds recordResponse(const ticket_request &request, const ticket_response &response, instant now);
     void invalidateTicket(const std::string &step, const std::string &workerId);
+    // Drops the answers for steps that are not needed any more and for incarnations of workers that have ended.
+    void prune(const std::function<bool(const std::string &step)> &isNeeded, const worker_registry &workers);
+    // Number of steps for which answers are stored.
+    std::size_t stepCount() const
+    {
+        return m_steps.size();
+    }
 
 private:
+    using incarnations = std::map<std::string, std::uint64_t>;
     struct ticket
     {
         std::string value;
@@ -52,11 +64,15 @@
     struct step_tickets
     {
         std::map<std::string, ticket> tickets;
-        // The policy of a step never changes, so a denial is permanent.
-        std::set<std::string> deniedWorkers;
+        // The policy of a step never changes, so a denial is permanent for that incarnation of the worker.
+        incarnations deniedWorkers;
+        // After requests without a usable answer.
+        milliseconds retryDelay{ 0 };
+        instant retryAt;
     };
     std::map<std::string, step_tickets> m_steps;
-    std::set<std::string> m_pendingRequests;
+    // The workers of each request that has no answer yet. The gateway answers each request or reports that it timed out.
+    std::map<std::string, incarnations> m_pendingRequests;
 };
 
 } // namespace jujubespool
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -262,6 +262,7 @@
         // No event reports that the avoid time of a worker has passed, so scheduling is repeated at intervals.
         m_scheduleNeeded = true;
         removeExpiredJobs(wall);
+        m_tickets.prune([this](const std::string &step) { return isStepUnfinished(step); }, m_model.workers());
     }
     processChanges(now);
 }
@@ -372,11 +373,11 @@
 
 void job_manager::requestTickets(const ticket_request &request)
 {
-    m_tickets.recordRequest(request.step);
+    m_tickets.recordRequest(request, m_model.workers());
     m_gateways.policy.requestTickets(request.step, request.workers,
                                      m_lifetime.guard([this, request](const ticket_response &result, instant now) {
-                                         m_tickets.recordResponse(request, result, m_model.workers(), now);
-                                         onProgress(now);
+                                         const milliseconds retryDelay = m_tickets.recordResponse(request, result, now);
+                                         m_timers.after(retryDelay, m_lifetime.guard([this](instant then) { onProgress(then); }));
                                      }));
 }
 
@@ -385,6 +386,18 @@
     m_tickets.invalidateTicket(key.job + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step), workerId);
 }
 
+bool job_manager::isStepUnfinished(const std::string &step) const
+{
+    const std::optional<task_key> first = task_key::parse(step + ".0");
+    const auto active = first ? m_model.activeJobs().find(first->job) : m_model.activeJobs().end();
+    if (active == m_model.activeJobs().end()) {
+        return false;
+    }
+    const auto occurrence = active->second->occurrences().find(first->occurrence);
+    return occurrence != active->second->occurrences().end() && !occurrence->second.ended
+        && occurrence->second.unfinishedTasks[static_cast<std::size_t>(first->step)] > 0;
+}
+
 bool job_manager::isOwnershipConfirmed(instant now) const
 {
     const duration unrecorded = now - m_writer.confirmedAt();
--- a/packages/jobs/src/policy_ticket_cache.cpp
+++ b/packages/jobs/src/policy_ticket_cache.cpp
@@ -1,11 +1,16 @@
 #include <jujubespool/jobs/policy_ticket_cache.h>
 
+#include <algorithm>
+
 namespace jujubespool {
 
 namespace {
 
 // A ticket must still be valid when the start order arrives at the worker.
 constexpr milliseconds MIN_REMAINING_VALIDITY{ 150 };
+// Times between requests for a step to which the policy service gives no usable answer.
+constexpr milliseconds MIN_RETRY_DELAY{ 100 };
+constexpr milliseconds MAX_RETRY_DELAY{ 1600 };
 
 } // namespace
 
@@ -21,34 +26,67 @@
     return valid ? &found->second.value : nullptr;
 }
 
-bool policy_ticket_cache::isDenied(const std::string &step, const std::string &workerId) const
+bool policy_ticket_cache::isDenied(const std::string &step, const worker &target) const
 {
     const auto entry = m_steps.find(step);
-    return entry != m_steps.end() && entry->second.deniedWorkers.count(workerId) > 0;
+    if (entry == m_steps.end()) {
+        return false;
+    }
+    const auto denied = entry->second.deniedWorkers.find(target.report.id);
+    return denied != entry->second.deniedWorkers.end() && denied->second == target.report.startTimeMs;
 }
 
-void policy_ticket_cache::recordRequest(const std::string &step)
+bool policy_ticket_cache::mayRequest(const std::string &step, instant now) const
 {
-    m_pendingRequests.insert(step);
+    const auto entry = m_steps.find(step);
+    return !isRequestPending(step) && (entry == m_steps.end() || now >= entry->second.retryAt);
 }
 
-void policy_ticket_cache::recordResponse(const ticket_request &request, const ticket_response &response, const worker_registry &workers,
-                                         instant now)
+void policy_ticket_cache::recordRequest(const ticket_request &request, const worker_registry &workers)
 {
-    m_pendingRequests.erase(request.step);
-    if (!response.tickets) {
-        return;
+    incarnations &asked = m_pendingRequests[request.step];
+    for (const std::string &id : request.workers) {
+        const auto target = workers.all().find(id);
+        if (target != workers.all().end()) {
+            asked[id] = target->second.report.startTimeMs;
+        }
     }
+}
+
+milliseconds policy_ticket_cache::recordResponse(const ticket_request &request, const ticket_response &response, instant now)
+{
+    const auto pending = m_pendingRequests.extract(request.step);
     step_tickets &cached = m_steps[request.step];
-    for (const std::string &id : request.workers) {
+    if (!response.tickets) {
+        cached.retryDelay = std::clamp(cached.retryDelay * 2, MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+        cached.retryAt = now + cached.retryDelay;
+        return cached.retryDelay;
+    }
+    cached.retryDelay = milliseconds(0);
+    const milliseconds validity = response.validity.count() > 0 ? response.validity : request.validity;
+    const incarnations asked = pending.empty() ? incarnations() : pending.mapped();
+    for (const auto &[id, startTimeMs] : asked) {
         const auto granted = response.tickets->find(id);
-        const auto target = workers.all().find(id);
         if (granted == response.tickets->end()) {
-            cached.deniedWorkers.insert(id);
-        } else if (target != workers.all().end()) {
-            cached.tickets[id] = { granted->second, target->second.report.startTimeMs, now + response.validity };
+            cached.deniedWorkers[id] = startTimeMs;
+        } else {
+            cached.tickets[id] = { granted->second, startTimeMs, now + validity };
         }
     }
+    return milliseconds(0);
+}
+
+void policy_ticket_cache::prune(const std::function<bool(const std::string &step)> &isNeeded, const worker_registry &workers)
+{
+    const auto isCurrent = [&workers](const std::string &id, std::uint64_t startTimeMs) {
+        const auto target = workers.all().find(id);
+        return target != workers.all().end() && target->second.report.startTimeMs == startTimeMs;
+    };
+    std::erase_if(m_steps, [&](const auto &entry) { return !isNeeded(entry.first); });
+    for (auto &[step, cached] : m_steps) {
+        std::erase_if(cached.tickets, [&](const auto &entry) { return !isCurrent(entry.first, entry.second.startTimeMs); });
+        std::erase_if(cached.deniedWorkers, [&](const auto &entry) { return !isCurrent(entry.first, entry.second); });
+    }
 }
 
 void policy_ticket_cache::invalidateTicket(const std::string &step, const std::string &workerId)
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -122,12 +122,12 @@
             }
             if (m_tickets.ticketFor(text, target, m_now) != nullptr) {
                 hasTicket = true;
-            } else if (!m_tickets.isDenied(text, id) && ticketRequest.workers.size() < MAX_WORKERS_PER_REQUEST) {
+            } else if (!m_tickets.isDenied(text, target) && ticketRequest.workers.size() < MAX_WORKERS_PER_REQUEST) {
                 ticketRequest.workers.push_back(id);
             }
         }
         const bool canRequest = m_tickets.requestsInFlight() + m_result.ticketRequests.size() < MAX_PENDING_REQUESTS;
-        if (!hasTicket && !ticketRequest.workers.empty() && !m_tickets.isRequestPending(text) && canRequest) {
+        if (!hasTicket && !ticketRequest.workers.empty() && m_tickets.mayRequest(text, m_now) && canRequest) {
             m_result.ticketRequests.push_back(std::move(ticketRequest));
         }
         return hasTicket;
--- /dev/null
+++ b/packages/jobs/test/policy_ticket_test.cpp
@@ -0,0 +1,227 @@
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <jujubespool/jobs/run_scheduler.h>
+#include <set>
+
+namespace {
+
+using namespace jujubespool;
+
+constexpr wall_ms WALL = 1800000000000;
+constexpr milliseconds VALIDITY{ 5000 };
+constexpr resources CAPACITY{ 2000, 4000, 0 };
+constexpr resources TASK{ 1000, 1000, 0 };
+const std::string RACK_OF_HALF = "r1";
+
+// A pool with a placement policy, and a policy service that answers each request before the next pass.
+class policy_fixture
+{
+public:
+    explicit policy_fixture(int workers)
+    {
+        config.queues.push_back({});
+        config.queues[0].name = "q";
+        config.queues[0].pool = "pool";
+        config.queues[0].policy = policy_config{ milliseconds(20), milliseconds(1), VALIDITY };
+        config.pools["pool"] = { "pool", true, false, {} };
+        model.setConfig(std::make_shared<fleet_config>(config));
+        for (int i = 0; i < workers; ++i) {
+            report(i, 1);
+        }
+    }
+
+    static std::string idOf(int number)
+    {
+        return fmt::format("w{:03}", number);
+    }
+
+    void report(int number, std::uint64_t startTimeMs)
+    {
+        const std::string id = idOf(number);
+        model.workers().update({ id,
+                                 id + ":1",
+                                 "pool",
+                                 "a",
+                                 worker_state::ready,
+                                 CAPACITY,
+                                 { "kind", number % 2 == 0 ? RACK_OF_HALF : "r2" },
+                                 startTimeMs,
+                                 {} },
+                               now);
+        model.workers().find(id)->polled = true;
+        model.workers().find(id)->clockKnown = true;
+    }
+
+    // Lets a run of another job use the whole worker.
+    void fill(int number)
+    {
+        placed_run run;
+        run.need = CAPACITY;
+        model.workers().find(idOf(number))->place({ "other", 0, 0, number }, run);
+    }
+
+    job &submit(const step_spec &step)
+    {
+        job_request request;
+        request.id = fmt::format("{:016x}", ++jobs);
+        request.queue = "q";
+        request.team = "team";
+        request.steps.push_back(step);
+        return model.add(job::accept(request, WALL));
+    }
+
+    std::vector<ticket_request> pass()
+    {
+        const schedule_result result = scheduler.decide(model, tickets, now, WALL);
+        for (const placement &placed : result.placements) {
+            placements.push_back(placed);
+        }
+        for (const ticket_request &request : result.ticketRequests) {
+            tickets.recordRequest(request, model.workers());
+            ++requests;
+            for (const std::string &id : request.workers) {
+                ++timesAsked[id];
+            }
+        }
+        return result.ticketRequests;
+    }
+
+    void answer(const ticket_request &request)
+    {
+        ticket_response response;
+        response.tickets.emplace();
+        response.validity = VALIDITY;
+        for (const std::string &id : request.workers) {
+            if (allowed.empty() || allowed.count(id) > 0) {
+                response.tickets->emplace(id, "ticket of " + id);
+            }
+        }
+        tickets.recordResponse(request, response, now);
+    }
+
+    // Passes and answers, as many as any of the tests should need and some more.
+    void settle()
+    {
+        constexpr int PASSES = 12;
+        for (int i = 0; i < PASSES; ++i) {
+            for (const ticket_request &request : pass()) {
+                answer(request);
+            }
+            now += milliseconds(10);
+        }
+    }
+
+    fleet_config config;
+    fleet_model model{ manager_bounds() };
+    run_scheduler scheduler;
+    policy_ticket_cache tickets;
+    instant now{ seconds(100) };
+    int jobs = 0;
+    int requests = 0;
+    // The workers to which the policy gives tickets; all if empty.
+    std::set<std::string> allowed;
+    std::map<std::string, int> timesAsked;
+    std::vector<placement> placements;
+};
+
+step_spec stepOf(int tasks)
+{
+    step_spec step;
+    step.count = tasks;
+    step.taskResources = TASK;
+    step.estimated = milliseconds(500);
+    return step;
+}
+
+} // namespace
+
+Test(policy_tickets, denialEndsWithTheIncarnationOfTheWorker)
+{
+    policy_fixture fixture(1);
+    fixture.allowed = { "none" };
+    fixture.submit(stepOf(1));
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 0U);
+    fixture.report(0, 2);
+    fixture.allowed.clear();
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 1U, "%zu tasks placed on the new incarnation", fixture.placements.size());
+}
+
+Test(policy_tickets, answerHoldsForTheIncarnationThatWasListedWhenItWasRequested)
+{
+    policy_fixture fixture(1);
+    fixture.submit(stepOf(1));
+    const std::vector<ticket_request> sent = fixture.pass();
+    cr_assert_eq(sent.size(), 1U);
+    fixture.report(0, 2);
+    fixture.answer(sent[0]);
+    fixture.pass();
+    cr_assert_eq(fixture.placements.size(), 0U, "placed with the ticket of the former incarnation");
+    fixture.tickets.recordResponse(sent[0], {}, fixture.now);
+    fixture.now += seconds(2);
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 1U);
+}
+
+Test(policy_tickets, workersThatWereDeniedAreNotAskedAgain)
+{
+    policy_fixture fixture(70);
+    fixture.allowed = { "none" };
+    fixture.submit(stepOf(3));
+    fixture.settle();
+    cr_assert_eq(fixture.timesAsked.size(), 70U, "%zu", fixture.timesAsked.size());
+    for (const auto &[id, times] : fixture.timesAsked) {
+        cr_assert_eq(times, 1, "%s: %d", id.c_str(), times);
+    }
+}
+
+Test(policy_tickets, serviceWithoutAnAnswerIsAskedLessAndLessOften)
+{
+    policy_fixture fixture(3);
+    fixture.submit(stepOf(1));
+    constexpr int PASSES = 1000;
+    for (int i = 0; i < PASSES; ++i) {
+        for (const ticket_request &request : fixture.pass()) {
+            fixture.tickets.recordResponse(request, {}, fixture.now);
+        }
+        fixture.now += milliseconds(10);
+    }
+    cr_assert_leq(fixture.requests, 12, "%d requests in 10 s", fixture.requests);
+    cr_assert_geq(fixture.requests, 6, "%d requests in 10 s", fixture.requests);
+    fixture.now += seconds(2);
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 1U);
+}
+
+Test(policy_tickets, ticketWithoutAValidityOfItsOwnHasThatOfTheQueue)
+{
+    policy_fixture fixture(1);
+    fixture.submit(stepOf(1));
+    const std::vector<ticket_request> sent = fixture.pass();
+    ticket_response response;
+    response.tickets.emplace()["w000"] = "ticket";
+    fixture.tickets.recordResponse(sent.at(0), response, fixture.now);
+    fixture.now += VALIDITY - milliseconds(300);
+    cr_assert_not_null(fixture.tickets.ticketFor(sent[0].step, *fixture.model.workers().find("w000"), fixture.now));
+    fixture.now += milliseconds(300);
+    cr_assert_null(fixture.tickets.ticketFor(sent[0].step, *fixture.model.workers().find("w000"), fixture.now));
+}
+
+Test(policy_tickets, answersAreDroppedWithTheirStepAndWithTheIncarnationOfTheirWorker)
+{
+    policy_fixture fixture(2);
+    fixture.allowed = { "w000" };
+    fixture.submit(stepOf(1));
+    fixture.submit(stepOf(1));
+    fixture.settle();
+    cr_assert_eq(fixture.tickets.stepCount(), 2U);
+    const std::string kept = fmt::format("{:016x}.0.0", 2);
+    fixture.tickets.prune([&](const std::string &step) { return step == kept; }, fixture.model.workers());
+    cr_assert_eq(fixture.tickets.stepCount(), 1U);
+    cr_assert_not_null(fixture.tickets.ticketFor(kept, *fixture.model.workers().find("w000"), fixture.now));
+    const worker former = *fixture.model.workers().find("w000");
+    fixture.report(0, 2);
+    fixture.tickets.prune([](const std::string &) { return true; }, fixture.model.workers());
+    cr_assert_null(fixture.tickets.ticketFor(kept, former, fixture.now));
+}
