Request tickets for the workers that can take a waiting task

What a caller could see: a task on a queue with a placement policy waited although workers with free capacity could run it. Tickets were requested for the first 30 workers by id, full or not, and for no more once one ticket was held. If that worker was full, or had as many tasks of the step as its maximum per worker allows, the rest of the step waited until the ticket ran out, and then the same 30 were asked. A gang that needs more workers than were given tickets never started.

Now a step first places what its tickets allow. For tasks that are left, tickets are requested for the workers that could take one of them now (eligible apart from the ticket, no ticket, not denied), in the order in which the placement prefers them. Each answer leaves fewer such workers, so the requests end when all are asked. A gang requests tickets only if it would fit with all of them, for as many workers as it needs, and for the rack with the most capacity first if it should run on one. Nothing is requested for a team at its maximum. While all workers are full the service is asked ahead as before, but for one step at a time, and only when no request for a step that can start is in flight or due.

--- a/packages/jobs/include/jujubespool/jobs/placement.h
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -37,6 +37,12 @@
 // True when the worker accepts new tasks, has free capacity for the task and meets all conditions of the request and the step.
 bool isEligible(const worker &target, const placement_request &request, instant now);
 
+// The eligible workers in the order in which chooseWorker prefers them.
+std::vector<worker *> eligibleWorkers(const std::vector<worker *> &workers, const placement_request &request, instant now);
+
+// Number of tasks of the step that the worker has free capacity for, without exceeding the step's maximum per worker.
+std::int64_t countFreeSlots(const worker &target, const placement_request &request);
+
 // Null when none of the workers is eligible.
 worker *chooseWorker(const std::vector<worker *> &workers, const placement_request &request, instant now);
 
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/jobs/placement.h>
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace jujubespool {
@@ -81,6 +82,40 @@
     return !wrongRack && !limitReached && (!request.isPermitted || request.isPermitted(target));
 }
 
+std::vector<worker *> eligibleWorkers(const std::vector<worker *> &workers, const placement_request &request, instant now)
+{
+    std::vector<std::pair<preference, worker *>> eligible;
+    for (worker *target : workers) {
+        if (isEligible(*target, request, now)) {
+            eligible.emplace_back(preferenceFor(*target, request), target);
+        }
+    }
+    std::stable_sort(eligible.begin(), eligible.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::vector<worker *> ordered;
+    for (const auto &[rank, target] : eligible) {
+        ordered.push_back(target);
+    }
+    return ordered;
+}
+
+std::int64_t countFreeSlots(const worker &target, const placement_request &request)
+{
+    const step_spec &step = *request.step;
+    const resources free = target.freeCapacity();
+    const auto slotsIn = [](std::int64_t available, std::int64_t need) {
+        return need > 0 ? std::max<std::int64_t>(available, 0) / need : std::numeric_limits<std::int64_t>::max();
+    };
+    std::int64_t slots = std::min(slotsIn(free.memoryMb, step.taskResources.memoryMb), slotsIn(free.gpus, step.taskResources.gpus));
+    if (!step.bestEffort) {
+        slots = std::min(slots, slotsIn(free.cpuMillis, step.taskResources.cpuMillis));
+    }
+    if (step.maxPerWorker > 0) {
+        const task_key &task = request.task;
+        slots = std::min<std::int64_t>(slots, step.maxPerWorker - target.countTasks(task.job, task.occurrence, task.step));
+    }
+    return std::min<std::int64_t>(slots, step.count);
+}
+
 worker *chooseWorker(const std::vector<worker *> &workers, const placement_request &request, instant now)
 {
     worker *best = nullptr;
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-// Maximum number of workers in one request to the policy service.
-constexpr std::size_t MAX_WORKERS_PER_REQUEST = 30;
+// Maximum number of workers in one request to the policy service, which takes time for each of them. More than the usual number are
+// named only if tasks that have to start together need more workers.
+constexpr std::size_t USUAL_WORKERS_PER_REQUEST = 30;
+constexpr std::size_t MAX_WORKERS_PER_REQUEST = 100;
 // Maximum number of requests to the policy service that may be pending at the same time.
 constexpr std::size_t MAX_PENDING_REQUESTS = 8;
 
@@ -53,6 +55,14 @@
         }
     }
 
+    // Must be called after the last call of schedule().
+    void finish()
+    {
+        if (m_laterRequest && m_result.ticketRequests.empty()) {
+            m_result.ticketRequests.push_back(std::move(*m_laterRequest));
+        }
+    }
+
 private:
     // The workers of a pool that accept new tasks, and the sizes of tasks that did not fit on any of them in this pass.
     struct pool_workers
@@ -96,41 +106,120 @@
         if (waiting.empty()) {
             return;
         }
-        if (queue.policy && !requestTicketsIfNeeded(queue, waiting.front(), step)) {
-            return;
-        }
+        const std::size_t before = m_result.placements.size();
         if (step.gang) {
             placeGang(current, queue, waiting);
+        } else {
+            for (const task_key &key : waiting) {
+                if (!placeTask(current, queue, key, 0, {})) {
+                    break;
+                }
+            }
+        }
+        waiting.erase(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(m_result.placements.size() - before));
+        if (queue.policy && !waiting.empty()) {
+            requestTicketsFor(current, queue, waiting);
+        }
+    }
+
+    // Requests tickets for tasks that could not be placed with the tickets that are present. Workers that could run them now are asked
+    // first. If there are none and the policy service has nothing else to do, workers are asked that could run them later.
+    void requestTicketsFor(const job &current, const queue_config &queue, const std::vector<task_key> &waiting)
+    {
+        const step_spec &step = current.step(waiting.front().step);
+        const std::string text = stepText(waiting.front());
+        const std::size_t tasksAtOnce = step.gang ? static_cast<std::size_t>(step.count) : 1;
+        if (waiting.size() < tasksAtOnce || !teamAllows(current, step, tasksAtOnce) || !m_tickets.mayRequest(text, m_now)
+            || m_tickets.requestsInFlight() + m_result.ticketRequests.size() >= MAX_PENDING_REQUESTS) {
             return;
         }
-        for (const task_key &key : waiting) {
-            if (!placeTask(current, queue, key, 0, {})) {
+        ticket_request tickets{ text, workersToAsk(current, queue, waiting.front(), tasksAtOnce), queue.policy->validity };
+        if (!tickets.workers.empty()) {
+            m_result.ticketRequests.push_back(std::move(tickets));
+        } else if (m_tickets.requestsInFlight() == 0 && !m_laterRequest) {
+            tickets.workers = workersToAskForLater(queue, text, step);
+            m_laterRequest = tickets.workers.empty() ? std::nullopt : std::optional(std::move(tickets));
+        }
+    }
+
+    bool teamAllows(const job &current, const step_spec &step, std::size_t tasks) const
+    {
+        resources need;
+        for (std::size_t task = 0; task < tasks; ++task) {
+            need += fleet_model::resourcesOf(step);
+        }
+        const auto team = m_model.config().teams.find(current.request().team);
+        return team == m_model.config().teams.end() || m_model.usage().allows(team->second, need);
+    }
+
+    // Workers without an answer of the policy service that could run a task of the step now, the preferred ones first. Empty if the tasks
+    // that have to start together would not fit even with a ticket for each of them.
+    std::vector<std::string> workersToAsk(const job &current, const queue_config &queue, const task_key &key, std::size_t tasksAtOnce)
+    {
+        const std::string text = stepText(key);
+        const pool_workers &pool = m_pools[queue.pool];
+        placement_request request = requestFor(current, queue, key);
+        request.isPermitted = nullptr;
+        request.preferredDataCenter = pool.preferredDataCenterOf(key.job);
+        std::vector<worker *> unasked;
+        std::int64_t slotsWithTicket = 0;
+        std::int64_t slotsUnasked = 0;
+        for (worker *target : eligibleWorkers(pool.workers, request, m_now)) {
+            if (m_tickets.ticketFor(text, *target, m_now) != nullptr) {
+                slotsWithTicket += countFreeSlots(*target, request);
+            } else if (!m_tickets.isDenied(text, *target)) {
+                slotsUnasked += countFreeSlots(*target, request);
+                unasked.push_back(target);
+            }
+        }
+        const auto needed = static_cast<std::int64_t>(tasksAtOnce);
+        if (slotsWithTicket + slotsUnasked < needed) {
+            return {};
+        }
+        if (request.step->sameRack) {
+            putLargestRackFirst(unasked, request);
+        }
+        std::vector<std::string> workers;
+        std::int64_t slots = slotsWithTicket;
+        for (const worker *target : unasked) {
+            const std::size_t limit = slots < needed ? MAX_WORKERS_PER_REQUEST : USUAL_WORKERS_PER_REQUEST;
+            if (workers.size() >= limit) {
                 break;
             }
+            workers.push_back(target->report.id);
+            slots += countFreeSlots(*target, request);
         }
+        return workers;
     }
 
-    // Returns false when no task of the step can be placed before the policy service has responded.
-    bool requestTicketsIfNeeded(const queue_config &queue, const task_key &key, const step_spec &step)
+    // Keeps the order within each rack.
+    static void putLargestRackFirst(std::vector<worker *> &workers, const placement_request &request)
     {
-        const std::string text = stepText(key);
-        ticket_request ticketRequest{ text, {}, queue.policy->validity };
-        bool hasTicket = false;
-        for (const auto &[id, target] : m_model.workers().all()) {
-            if (target.report.pool != queue.pool || !acceptsNewTasks(target, m_now) || !fitsWhenEmpty(target, step)) {
+        std::map<std::string, std::int64_t> slots;
+        for (const worker *target : workers) {
+            slots[target->rack()] += countFreeSlots(*target, request);
+        }
+        std::stable_sort(workers.begin(), workers.end(), [&](const worker *left, const worker *right) {
+            return std::make_pair(-slots.at(left->rack()), left->rack()) < std::make_pair(-slots.at(right->rack()), right->rack());
+        });
+    }
+
+    // Workers that could run the step if less ran there; empty if there is a ticket for one of them already.
+    std::vector<std::string> workersToAskForLater(const queue_config &queue, const std::string &text, const step_spec &step)
+    {
+        std::vector<std::string> workers;
+        for (const worker *target : m_pools[queue.pool].workers) {
+            if (!fitsWhenEmpty(*target, step)) {
                 continue;
             }
-            if (m_tickets.ticketFor(text, target, m_now) != nullptr) {
-                hasTicket = true;
-            } else if (!m_tickets.isDenied(text, target) && ticketRequest.workers.size() < MAX_WORKERS_PER_REQUEST) {
-                ticketRequest.workers.push_back(id);
+            if (m_tickets.ticketFor(text, *target, m_now) != nullptr) {
+                return {};
+            }
+            if (!m_tickets.isDenied(text, *target) && workers.size() < USUAL_WORKERS_PER_REQUEST) {
+                workers.push_back(target->report.id);
             }
         }
-        const bool canRequest = m_tickets.requestsInFlight() + m_result.ticketRequests.size() < MAX_PENDING_REQUESTS;
-        if (!hasTicket && !ticketRequest.workers.empty() && m_tickets.mayRequest(text, m_now) && canRequest) {
-            m_result.ticketRequests.push_back(std::move(ticketRequest));
-        }
-        return hasTicket;
+        return workers;
     }
 
     placement_request requestFor(const job &current, const queue_config &queue, const task_key &key) const
@@ -234,6 +323,8 @@
     const policy_ticket_cache &m_tickets;
     instant m_now;
     schedule_result &m_result;
+    // A request for tickets that nothing could be placed with yet.
+    std::optional<ticket_request> m_laterRequest;
     std::unordered_map<std::string, pool_workers> m_pools;
 };
 
@@ -346,6 +437,7 @@
     for (const ranked_job &ranked : order) {
         pass.schedule(*ranked.current, *ranked.queue);
     }
+    pass.finish();
     return result;
 }
 
--- a/packages/jobs/test/policy_ticket_test.cpp
+++ b/packages/jobs/test/policy_ticket_test.cpp
@@ -13,7 +13,8 @@
 constexpr resources TASK{ 1000, 1000, 0 };
 const std::string RACK_OF_HALF = "r1";
 
-// A pool with a placement policy, and a policy service that answers each request before the next pass.
+// A pool with a placement policy, and a policy service that answers each
+// request before the next pass.
 class policy_fixture
 {
 public:
@@ -225,3 +226,115 @@
     fixture.tickets.prune([](const std::string &) { return true; }, fixture.model.workers());
     cr_assert_null(fixture.tickets.ticketFor(kept, former, fixture.now));
 }
+
+Test(policy_tickets, workersWithCapacityAreAskedWhenTheFirstOnesAreFull)
+{
+    policy_fixture fixture(42);
+    for (int i = 0; i < 30; ++i) {
+        fixture.fill(i);
+    }
+    fixture.submit(stepOf(4));
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 4U, "%zu of 4 tasks placed", fixture.placements.size());
+    cr_assert_eq(fixture.requests, 1, "%d requests", fixture.requests);
+}
+
+Test(policy_tickets, furtherWorkersAreAskedWhenTheWorkerWithATicketIsFull)
+{
+    policy_fixture fixture(40);
+    fixture.allowed = { "w003", "w035" };
+    fixture.submit(stepOf(4));
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 4U, "%zu of 4 tasks placed", fixture.placements.size());
+}
+
+Test(policy_tickets, furtherWorkersAreAskedWhenTheWorkerWithATicketHasItsMaximumOfTasks)
+{
+    policy_fixture fixture(40);
+    fixture.allowed = { "w003", "w035" };
+    step_spec step = stepOf(2);
+    step.maxPerWorker = 1;
+    fixture.submit(step);
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 2U, "%zu of 2 tasks placed", fixture.placements.size());
+}
+
+Test(policy_tickets, gangGetsTicketsForAllItsWorkers)
+{
+    policy_fixture fixture(70);
+    step_spec step = stepOf(65);
+    step.gang = true;
+    step.maxPerWorker = 1;
+    fixture.submit(step);
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 65U, "%zu of 65 tasks placed", fixture.placements.size());
+    cr_assert_eq(fixture.requests, 1, "%d requests", fixture.requests);
+}
+
+Test(policy_tickets, gangOnOneRackGetsTicketsForTheRackWithTheMostCapacity)
+{
+    policy_fixture fixture(60);
+    fixture.fill(1);
+    step_spec step = stepOf(40);
+    step.gang = true;
+    step.sameRack = true;
+    fixture.submit(step);
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 40U, "%zu of 40 tasks placed", fixture.placements.size());
+    for (const placement &placed : fixture.placements) {
+        cr_assert_str_eq(fixture.model.workers().find(placed.worker)->rack().c_str(), RACK_OF_HALF.c_str());
+    }
+}
+
+Test(policy_tickets, gangThatCannotBePlacedRequestsNoTickets)
+{
+    policy_fixture fixture(10);
+    fixture.fill(0);
+    fixture.allowed = { "w000" };
+    step_spec step = stepOf(20);
+    step.gang = true;
+    fixture.submit(step);
+    fixture.settle();
+    fixture.now += VALIDITY;
+    fixture.settle();
+    // Only the request for later, which the policy service had time for.
+    cr_assert_leq(fixture.requests, 2, "%d requests", fixture.requests);
+}
+
+Test(policy_tickets, teamAtItsMaximumRequestsNoTickets)
+{
+    policy_fixture fixture(10);
+    fixture.config.teams["team"] = { "team", 1, { 500, 0, 0 } };
+    fixture.model.setConfig(std::make_shared<fleet_config>(fixture.config));
+    fixture.submit(stepOf(2));
+    fixture.settle();
+    cr_assert_eq(fixture.requests, 0, "%d requests", fixture.requests);
+}
+
+Test(policy_tickets, fullWorkersAreAskedOnlyWhenNoStepCanStart)
+{
+    policy_fixture fixture(40);
+    for (int i = 0; i < 40; ++i) {
+        fixture.fill(i);
+    }
+    fixture.submit(stepOf(1));
+    fixture.submit(stepOf(1));
+    const std::vector<ticket_request> sent = fixture.pass();
+    cr_assert_eq(sent.size(), 1U, "%zu", sent.size());
+    fixture.model.workers().find("w039")->remove({ "other", 0, 0, 39 });
+    const std::vector<ticket_request> next = fixture.pass();
+    cr_assert_eq(next.size(), 1U, "%zu", next.size());
+    cr_assert(next[0].workers == std::vector<std::string>{ "w039" });
+}
+
+Test(policy_tickets, ticketsThatRanOutAreRequestedAgain)
+{
+    policy_fixture fixture(1);
+    fixture.fill(0);
+    fixture.submit(stepOf(1));
+    fixture.settle();
+    fixture.now += VALIDITY;
+    fixture.model.workers().find("w000")->remove({ "other", 0, 0, 0 });
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 1U);
+}
