Keep the queues of accepted jobs in the ledger

What a caller saw: a job was accepted, the route of its queue was removed, and after the next change of owner its waiting tasks never started: GET gave `running` for good. The configuration no longer has the queue. The owner that accepted the job remembered it in memory; its successor reads only the newest configuration, queueOf() is null for the job, and scheduling, planning and the count of failed attempts pass over it.

Now the ledger holds `queue/NAME` for each queue with jobs (known_queues). It is put with the first job of the queue, so that it goes into the same append and the acceptance waits for it; put again only when a part that jobs need changes while the queue has jobs; removed once the queue is neither configured nor has jobs that have not ended. While a queue is configured its entry stays when its last job ends, so that a queue whose jobs come one at a time is written once. The current configuration has precedence over the entry. A ledger without such entries is read as before, and the take-over adds them for the queues that are still configured; a job whose queue is known nowhere is logged (queue-unknown).

Alternatives weighed: the queue's data in each job image is written with each change of each job; the whole configuration in the ledger is larger, changes with every version, and an older version of it does not name the queues that were removed before; reading former versions from the operators' topic depends on how long the store keeps them.

Teams: a job of a team whose configuration was removed is not lost.

--- a/packages/jobs/include/jujubespool/jobs/fleet_config.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_config.h
@@ -19,6 +19,8 @@
     milliseconds decision{ 0 };
     milliseconds perWorker{ 0 };
     milliseconds validity{ 0 };
+
+    bool operator==(const policy_config &other) const = default;
 };
 
 struct queue_config
@@ -36,6 +38,8 @@
     milliseconds targetLatency{ 0 };
     bool allowsAnonymous = false;
     std::optional<policy_config> policy;
+
+    bool operator==(const queue_config &other) const = default;
 };
 
 struct pool_config
--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <jujubespool/jobs/gateways.h>
+#include <jujubespool/jobs/known_queues.h>
 #include <jujubespool/jobs/team_usage_tracker.h>
 #include <memory>
 #include <set>
@@ -70,6 +71,10 @@
     }
     // Returns the queue as configured now or, if it was removed, its last known configuration.
     const queue_config *queueOf(const job &entry) const;
+    // Takes over the last known configuration of a queue from the ledger, after a change of owner.
+    void restoreQueue(const queue_config &queue);
+    // Returns the ledger entries of queues that changed since the last call.
+    std::vector<ledger_entry> takeChangedQueues();
 
     job *find(const std::string &id);
     job &add(job entry);
@@ -121,12 +126,12 @@
     static resources resourcesOf(const step_spec &step);
 
 private:
+    void deactivate(const job &entry);
     void unplace(const task_key &key, const task_progress &task);
 
     manager_bounds m_bounds;
     std::shared_ptr<const fleet_config> m_config;
-    // Queues of former configurations, for jobs that still refer to them.
-    std::map<std::string, queue_config> m_knownQueues;
+    known_queues m_queues;
     std::map<std::string, job> m_jobs;
     std::map<std::string, job *> m_activeJobs;
     std::set<std::string> m_changed;
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -117,6 +117,9 @@
     bool isStepUnfinished(const std::string &step) const;
     void stopRuns(const std::string &id, instant now);
     void removeExpiredJobs(wall_ms wall);
+    void restoreQueue(const std::string &name, const std::string &value);
+    // Logs each job that cannot run, because neither the configuration nor the ledger has its queue.
+    void logUnknownQueues();
     void restoreWave(const std::string &name, const std::string &value);
     void restoreJob(const wire::job_image &image, instant leaseEnd, instant now);
 
--- a/packages/jobs/include/jujubespool/jobs/ledger_keys.h
+++ b/packages/jobs/include/jujubespool/jobs/ledger_keys.h
@@ -9,11 +9,11 @@
 
 namespace jujubespool {
 
-enum class ledger_kind { job, wave, owner, host, unknown };
+enum class ledger_kind { job, wave, owner, host, queue, unknown };
 
 template <> struct enum_names<ledger_kind>
 {
-    static constexpr std::array<std::string_view, 5> NAMES{ "job", "wave", "owner", "host", "unknown" };
+    static constexpr std::array<std::string_view, 6> NAMES{ "job", "wave", "owner", "host", "queue", "unknown" };
 };
 
 struct ledger_key
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -30,15 +30,22 @@
 void fleet_model::setConfig(std::shared_ptr<const fleet_config> config)
 {
     m_config = std::move(config);
-    for (const queue_config &queue : m_config->queues) {
-        m_knownQueues[queue.name] = queue;
-    }
+    m_queues.setConfig(*m_config);
 }
 
 const queue_config *fleet_model::queueOf(const job &entry) const
 {
-    const auto found = m_knownQueues.find(entry.request().queue);
-    return found == m_knownQueues.end() ? nullptr : &found->second;
+    return m_queues.find(entry.request().queue);
+}
+
+void fleet_model::restoreQueue(const queue_config &queue)
+{
+    m_queues.restore(queue);
+}
+
+std::vector<ledger_entry> fleet_model::takeChangedQueues()
+{
+    return m_queues.takeChanges();
 }
 
 job *fleet_model::find(const std::string &id)
@@ -50,20 +57,35 @@
 job &fleet_model::add(job entry)
 {
     const std::string id = entry.request().id;
+    if (const job *replaced = find(id)) {
+        deactivate(*replaced);
+    }
     job &added = m_jobs.insert_or_assign(id, std::move(entry)).first->second;
     if (!added.ended()) {
         m_activeJobs[id] = &added;
+        m_queues.addJob(added.request().queue);
     }
     return added;
 }
 
 void fleet_model::remove(const std::string &id)
 {
-    m_activeJobs.erase(id);
+    const job *removed = find(id);
+    if (removed == nullptr) {
+        return;
+    }
+    deactivate(*removed);
     m_changed.erase(id);
     m_jobs.erase(id);
 }
 
+void fleet_model::deactivate(const job &entry)
+{
+    if (m_activeJobs.erase(entry.request().id) > 0) {
+        m_queues.removeJob(entry.request().queue);
+    }
+}
+
 void fleet_model::markChanged(const std::string &id)
 {
     m_changed.insert(id);
@@ -230,7 +252,7 @@
 void fleet_model::endJob(job &entry, job_state state, wall_ms wall)
 {
     entry.setState(state, wall);
-    m_activeJobs.erase(entry.request().id);
+    deactivate(entry);
     m_ended.push_back(entry.request().id);
     markChanged(entry.request().id);
 }
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -59,12 +59,15 @@
         wire::host_order_image hostOrder;
         if (parsed.kind == ledger_kind::job && image.ParseFromString(value)) {
             restoreJob(image, leaseEnd, now);
+        } else if (parsed.kind == ledger_kind::queue) {
+            restoreQueue(parsed.name, value);
         } else if (parsed.kind == ledger_kind::wave) {
             restoreWave(parsed.name, value);
         } else if (parsed.kind == ledger_kind::host && hostOrder.ParseFromString(value)) {
             m_hostController.restoreOrder(parsed.name, hostOrder.ordered_ms(), wall, now);
         }
     }
+    logUnknownQueues();
     if (m_model.configured()) {
         m_poolRebalancer.restoreLoadHistory(now, wall);
     }
@@ -77,6 +80,25 @@
     processChanges(now);
 }
 
+void job_manager::restoreQueue(const std::string &name, const std::string &value)
+{
+    const std::optional<queue_config> queue = queueFromImage(value);
+    if (!queue || queue->name != name) {
+        m_log.write("ledger-entry-unreadable", { { "queue", name } });
+        return;
+    }
+    m_model.restoreQueue(*queue);
+}
+
+void job_manager::logUnknownQueues()
+{
+    for (const auto &[id, active] : m_model.activeJobs()) {
+        if (m_model.queueOf(*active) == nullptr) {
+            m_log.write("queue-unknown", { { "job", id }, { "queue", active->request().queue } });
+        }
+    }
+}
+
 void job_manager::restoreWave(const std::string &name, const std::string &value)
 {
     std::uint64_t number = 0;
@@ -349,6 +371,9 @@
     for (const std::string &id : m_model.takeEnded()) {
         onJobEnded(id);
     }
+    for (ledger_entry &entry : m_model.takeChangedQueues()) {
+        m_writer.put(std::move(entry));
+    }
     for (const auto &[number, image] : m_hostMaintenance.takeChanged()) {
         m_writer.put({ ledgerKey(ledger_kind::wave, std::to_string(number)), image.SerializeAsString() });
     }
