Send no start whose ticket ran out while it was recorded

What callers would see: a start is recorded before it is sent. If the store takes longer than the ticket is valid, the order goes out with a ticket that has run out, the worker rejects it, and the task needs a second round. For a gang, one rejected member leaves the others waiting for it until they give up.

Now a placement carries the time until which its ticket may be sent. When the record is durable and the time has passed, the task is given back without an order (start-withheld), and a new ticket is requested; all members of a gang are given back together. No order was sent, so nothing can run, and the next run has a higher number. The withheld gang has no case of its own yet.

--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -110,6 +110,8 @@
     void checkTakeOverKnown(instant now);
     void processChanges(instant now);
     void schedule(instant now);
+    // Sends the start orders of placements that are recorded.
+    void sendStarts(const std::vector<placement> &placements, instant now);
     void writeChanged();
     void onJobEnded(const std::string &id);
     void requestTickets(const ticket_request &request);
--- a/packages/jobs/include/jujubespool/jobs/policy_ticket_cache.h
+++ b/packages/jobs/include/jujubespool/jobs/policy_ticket_cache.h
@@ -28,6 +28,8 @@
 public:
     // Returns null when there is no valid ticket for the worker's current incarnation.
     const std::string *ticketFor(const std::string &step, const worker &target, instant now) const;
+    // Latest time at which a start order with the ticket may be sent to the worker's current incarnation; empty without a ticket.
+    std::optional<instant> validUntil(const std::string &step, const worker &target) const;
     // The policy service has answered that this incarnation of the worker may not run the step.
     bool isDenied(const std::string &step, const worker &target) const;
     bool isRequestPending(const std::string &step) const
@@ -61,6 +63,7 @@
         std::uint64_t startTimeMs = 0;
         instant validUntil;
     };
+    const ticket *find(const std::string &step, const worker &target) const;
     struct step_tickets
     {
         std::map<std::string, ticket> tickets;
--- a/packages/jobs/include/jujubespool/jobs/run_scheduler.h
+++ b/packages/jobs/include/jujubespool/jobs/run_scheduler.h
@@ -19,6 +19,8 @@
     int run = 0;
     std::string worker;
     std::string ticket;
+    // Latest time at which the start order may be sent with the ticket; empty without a ticket.
+    std::optional<instant> ticketValidUntil = std::nullopt;
 };
 
 struct schedule_result
--- a/packages/jobs/include/jujubespool/jobs/run_supervisor.h
+++ b/packages/jobs/include/jujubespool/jobs/run_supervisor.h
@@ -45,6 +45,8 @@
 
     // Sends the start order, and repeats it if the worker does not respond.
     void start(const placement &placed, instant now);
+    // Gives the task back without an order.
+    void withhold(const placement &placed, instant now);
     // Sends a stop order. The end of the run is applied when a poll reports it.
     void stop(const task_key &key, instant now);
     // Limits the speed of the run to a percentage of its full speed, 0 to 100.
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -14,6 +14,11 @@
 // that lose their host could not be started elsewhere.
 constexpr milliseconds STORE_SILENT_BEFORE_HOSTS_STAY{ 700 };
 
+bool hasValidTicket(const placement &placed, instant now)
+{
+    return !placed.ticketValidUntil || now < *placed.ticketValidUntil;
+}
+
 } // namespace
 
 job_manager::job_manager(const manager_gateways &gateways, timer_service &timers, event_log &log, const manager_bounds &bounds,
@@ -349,15 +354,31 @@
         }
     }
     writeChanged();
-    m_writer.whenDurable(
-        [this, placements = result.placements](instant then) {
-            for (const placement &placed : placements) {
-                m_log.write("start",
-                            { { "task", placed.task.text() }, { "run", std::to_string(placed.run) }, { "worker", placed.worker } });
-                m_runs.start(placed, then);
-            }
-        },
-        now);
+    m_writer.whenDurable([this, placements = result.placements](instant then) { sendStarts(placements, then); }, now);
+}
+
+void job_manager::sendStarts(const std::vector<placement> &placements, instant now)
+{
+    const auto gangOf = [](const placement &placed) {
+        return task_key{ placed.task.job, placed.task.occurrence, placed.task.step, 0 };
+    };
+    // The members of a gang work only together, so all wait for the ticket of one.
+    std::set<task_key> withheldGangs;
+    for (const placement &placed : placements) {
+        const job *owningJob = m_model.find(placed.task.job);
+        if (owningJob != nullptr && owningJob->step(placed.task.step).gang && !hasValidTicket(placed, now)) {
+            withheldGangs.insert(gangOf(placed));
+        }
+    }
+    for (const placement &placed : placements) {
+        if (!hasValidTicket(placed, now) || withheldGangs.count(gangOf(placed)) > 0) {
+            m_log.write("start-withheld", { { "task", placed.task.text() }, { "worker", placed.worker }, { "reason", "ticket" } });
+            m_runs.withhold(placed, now);
+            continue;
+        }
+        m_log.write("start", { { "task", placed.task.text() }, { "run", std::to_string(placed.run) }, { "worker", placed.worker } });
+        m_runs.start(placed, now);
+    }
 }
 
 void job_manager::writeChanged()
--- a/packages/jobs/src/policy_ticket_cache.cpp
+++ b/packages/jobs/src/policy_ticket_cache.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-// A ticket must still be valid when the start order arrives at the worker.
+// A ticket must still be valid when the start order arrives at the worker, and before that the start is recorded.
+constexpr milliseconds MIN_TIME_TO_ARRIVE{ 20 };
 constexpr milliseconds MIN_REMAINING_VALIDITY{ 150 };
 // Times between requests for a step to which the policy service gives no usable answer.
 constexpr milliseconds MIN_RETRY_DELAY{ 100 };
@@ -14,16 +15,27 @@
 
 } // namespace
 
-const std::string *policy_ticket_cache::ticketFor(const std::string &step, const worker &target, instant now) const
+const policy_ticket_cache::ticket *policy_ticket_cache::find(const std::string &step, const worker &target) const
 {
     const auto entry = m_steps.find(step);
     if (entry == m_steps.end()) {
         return nullptr;
     }
     const auto found = entry->second.tickets.find(target.report.id);
-    const bool valid = found != entry->second.tickets.end() && found->second.startTimeMs == target.report.startTimeMs
-        && now + MIN_REMAINING_VALIDITY < found->second.validUntil;
-    return valid ? &found->second.value : nullptr;
+    const bool current = found != entry->second.tickets.end() && found->second.startTimeMs == target.report.startTimeMs;
+    return current ? &found->second : nullptr;
+}
+
+const std::string *policy_ticket_cache::ticketFor(const std::string &step, const worker &target, instant now) const
+{
+    const ticket *found = find(step, target);
+    return found != nullptr && now + MIN_REMAINING_VALIDITY < found->validUntil ? &found->value : nullptr;
+}
+
+std::optional<instant> policy_ticket_cache::validUntil(const std::string &step, const worker &target) const
+{
+    const ticket *found = find(step, target);
+    return found == nullptr ? std::nullopt : std::optional(found->validUntil - MIN_TIME_TO_ARRIVE);
 }
 
 bool policy_ticket_cache::isDenied(const std::string &step, const worker &target) const
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -263,11 +263,13 @@
             return false;
         }
         std::string ticket;
+        std::optional<instant> ticketValidUntil;
         if (queue.policy) {
             ticket = *m_tickets.ticketFor(stepText(key), *target, m_now);
+            ticketValidUntil = m_tickets.validUntil(stepText(key), *target);
         }
         const int runNumber = m_model.place(key, *target, m_now, run);
-        m_result.placements.push_back({ key, runNumber, target->report.id, ticket });
+        m_result.placements.push_back({ key, runNumber, target->report.id, ticket, ticketValidUntil });
         return true;
     }
 
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -76,6 +76,14 @@
     sendStart({ placed, 0 }, now);
 }
 
+void run_supervisor::withhold(const placement &placed, instant now)
+{
+    const placed_run *run = runOf(placed.task, placed.run);
+    if (run != nullptr && !run->confirmed && !run->stopping) {
+        giveUpStart(placed.task, now);
+    }
+}
+
 void run_supervisor::sendStart(const start_attempt &attempt, instant now)
 {
     const placement &placed = attempt.placed;
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -180,10 +180,10 @@
     {
         answer(LATENCY, host_order_result{ host_order_status::done, {} }, done);
     }
-    void requestTickets(const std::string &, const std::vector<std::string> &,
+    void requestTickets(const std::string &, const std::vector<std::string> &workers,
                         std::function<void(const ticket_response &, instant now)> done) override
     {
-        answer(LATENCY, ticket_response(), done);
+        answer(LATENCY, platform.policyAnswer(workers), done);
     }
     void publishWaveStatus(std::uint64_t, bool, std::function<void(bool written, instant now)> done) override
     {
@@ -248,6 +248,8 @@
 fake_platform::fake_platform()
     : runTime([](const task_key &) { return milliseconds(200); })
     , alwaysFails([](const task_key &) { return false; })
+    , policyAnswer([](const std::vector<std::string> &) { return ticket_response(); })
+    , acceptsTicket([](const start_order &) { return true; })
     , m_now(seconds(1000))
 {
 }
@@ -424,6 +426,9 @@
     if (order.run <= target.highestEndedRun[order.task]) {
         return { order_status::superseded, std::nullopt, {} };
     }
+    if (!acceptsTicket(order)) {
+        return { order_status::bad_ticket, std::nullopt, {} };
+    }
     if (!m_runningOn[order.task].empty()) {
         m_violations.push_back("concurrent runs of " + order.task.text());
     }
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -82,6 +82,10 @@
     std::function<milliseconds(const task_key &)> runTime;
     // Whether each run of a task fails on any worker; none does by default.
     std::function<bool(const task_key &)> alwaysFails;
+    // The answer of the policy service for these workers; none by default.
+    std::function<ticket_response(const std::vector<std::string> &workers)> policyAnswer;
+    // Whether the worker accepts the ticket of the order; any by default.
+    std::function<bool(const start_order &order)> acceptsTicket;
 
     platform_clients clientsOf(const std::string &process);
     fake_links &linksOf(const std::string &process);
