--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -92,6 +92,7 @@
     }
     std::stable_sort(eligible.begin(), eligible.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
     std::vector<worker *> ordered;
+    ordered.reserve(eligible.size());
     for (const auto &[rank, target] : eligible) {
         ordered.push_back(target);
     }
