--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -110,11 +110,18 @@
     void checkTakeOverKnown(instant now);
     void processChanges(instant now);
     void schedule(instant now);
+    // Sends the start orders of placements that are recorded.
+    void sendStarts(const std::vector<placement> &placements, instant now);
     void writeChanged();
     void onJobEnded(const std::string &id);
     void requestTickets(const ticket_request &request);
+    // Whether the step, in the form "job.occurrence.step", still has tasks that are not done.
+    bool isStepUnfinished(const std::string &step) const;
     void stopRuns(const std::string &id, instant now);
     void removeExpiredJobs(wall_ms wall);
+    void restoreQueue(const std::string &name, const std::string &value);
+    // Logs each job that cannot run, because neither the configuration nor the ledger has its queue.
+    void logUnknownQueues();
     void restoreWave(const std::string &name, const std::string &value);
     void restoreJob(const wire::job_image &image, instant leaseEnd, instant now);
 
--- a/packages/jobs/src/gang_placement.cpp
+++ b/packages/jobs/src/gang_placement.cpp
@@ -5,35 +5,14 @@
 
 namespace jujubespool {
 
-namespace {
-
-// The number of tasks that the free amount of one resource is enough for, at most `limit`.
-std::int64_t countWithin(std::int64_t limit, std::int64_t free, std::int64_t need)
-{
-    return need > 0 ? std::min(limit, free / need) : limit;
-}
-
-} // namespace
-
 int countFittingTasks(const worker &target, const placement_request &request, instant now)
 {
     if (!isEligible(target, request, now)) {
         return 0;
     }
-    const step_spec &step = *request.step;
-    const resources free = target.freeCapacity();
-    std::int64_t count = step.count;
-    if (!step.bestEffort) {
-        count = countWithin(count, free.cpuMillis, step.taskResources.cpuMillis);
-    }
-    count = countWithin(count, free.memoryMb, step.taskResources.memoryMb);
-    count = countWithin(count, free.gpus, step.taskResources.gpus);
-    if (step.maxPerWorker > 0) {
-        const task_key &task = request.task;
-        const int placed = target.countTasks(task.job, task.occurrence, task.step);
-        count = std::min<std::int64_t>(count, step.maxPerWorker - placed);
-    }
-    return static_cast<int>(count);
+    // A suspected worker gets one task at a time.
+    const std::int64_t slots = countFreeSlots(target, request);
+    return static_cast<int>(target.isSuspectedToFailRuns() ? std::min<std::int64_t>(slots, 1) : slots);
 }
 
 std::optional<std::string> rackForGang(const std::vector<worker *> &workers, const placement_request &request, instant now)
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -14,6 +14,11 @@
 // that lose their host could not be started elsewhere.
 constexpr milliseconds STORE_SILENT_BEFORE_HOSTS_STAY{ 700 };
 
+bool hasValidTicket(const placement &placed, instant now)
+{
+    return !placed.ticketValidUntil || now < *placed.ticketValidUntil;
+}
+
 } // namespace
 
 job_manager::job_manager(const manager_gateways &gateways, timer_service &timers, event_log &log, const manager_bounds &bounds,
@@ -59,12 +64,15 @@
         wire::host_order_image hostOrder;
         if (parsed.kind == ledger_kind::job && image.ParseFromString(value)) {
             restoreJob(image, leaseEnd, now);
+        } else if (parsed.kind == ledger_kind::queue) {
+            restoreQueue(parsed.name, value);
         } else if (parsed.kind == ledger_kind::wave) {
             restoreWave(parsed.name, value);
         } else if (parsed.kind == ledger_kind::host && hostOrder.ParseFromString(value)) {
             m_hostController.restoreOrder(parsed.name, hostOrder.ordered_ms(), wall, now);
         }
     }
+    logUnknownQueues();
     if (m_model.configured()) {
         m_poolRebalancer.restoreLoadHistory(now, wall);
     }
@@ -77,6 +85,25 @@
     processChanges(now);
 }
 
+void job_manager::restoreQueue(const std::string &name, const std::string &value)
+{
+    const std::optional<queue_config> queue = queueFromImage(value);
+    if (!queue || queue->name != name) {
+        m_log.write("ledger-entry-unreadable", { { "queue", name } });
+        return;
+    }
+    m_model.restoreQueue(*queue);
+}
+
+void job_manager::logUnknownQueues()
+{
+    for (const auto &[id, active] : m_model.activeJobs()) {
+        if (m_model.queueOf(*active) == nullptr) {
+            m_log.write("queue-unknown", { { "job", id }, { "queue", active->request().queue } });
+        }
+    }
+}
+
 void job_manager::restoreWave(const std::string &name, const std::string &value)
 {
     std::uint64_t number = 0;
@@ -263,6 +290,7 @@
         // No event reports that the avoid time of a worker has passed, so scheduling is repeated at intervals.
         m_scheduleNeeded = true;
         removeExpiredJobs(wall);
+        m_tickets.prune([this](const std::string &step) { return isStepUnfinished(step); }, m_model.workers());
     }
     processChanges(now);
 }
@@ -327,15 +355,31 @@
         }
     }
     writeChanged();
-    m_writer.whenDurable(
-        [this, placements = result.placements](instant then) {
-            for (const placement &placed : placements) {
-                m_log.write("start",
-                            { { "task", placed.task.text() }, { "run", std::to_string(placed.run) }, { "worker", placed.worker } });
-                m_runs.start(placed, then);
-            }
-        },
-        now);
+    m_writer.whenDurable([this, placements = result.placements](instant then) { sendStarts(placements, then); }, now);
+}
+
+void job_manager::sendStarts(const std::vector<placement> &placements, instant now)
+{
+    const auto gangOf = [](const placement &placed) {
+        return task_key{ placed.task.job, placed.task.occurrence, placed.task.step, 0 };
+    };
+    // The members of a gang work only together, so all wait for the ticket of one.
+    std::set<task_key> withheldGangs;
+    for (const placement &placed : placements) {
+        const job *owningJob = m_model.find(placed.task.job);
+        if (owningJob != nullptr && owningJob->step(placed.task.step).gang && !hasValidTicket(placed, now)) {
+            withheldGangs.insert(gangOf(placed));
+        }
+    }
+    for (const placement &placed : placements) {
+        if (!hasValidTicket(placed, now) || withheldGangs.count(gangOf(placed)) > 0) {
+            m_log.write("start-withheld", { { "task", placed.task.text() }, { "worker", placed.worker }, { "reason", "ticket" } });
+            m_runs.withhold(placed, now);
+            continue;
+        }
+        m_log.write("start", { { "task", placed.task.text() }, { "run", std::to_string(placed.run) }, { "worker", placed.worker } });
+        m_runs.start(placed, now);
+    }
 }
 
 void job_manager::writeChanged()
@@ -349,6 +393,9 @@
     for (const std::string &id : m_model.takeEnded()) {
         onJobEnded(id);
     }
+    for (ledger_entry &entry : m_model.takeChangedQueues()) {
+        m_writer.put(std::move(entry));
+    }
     for (const auto &[number, image] : m_hostMaintenance.takeChanged()) {
         m_writer.put({ ledgerKey(ledger_kind::wave, std::to_string(number)), image.SerializeAsString() });
     }
@@ -373,11 +420,11 @@
 
 void job_manager::requestTickets(const ticket_request &request)
 {
-    m_tickets.recordRequest(request.step);
+    m_tickets.recordRequest(request, m_model.workers());
     m_gateways.policy.requestTickets(request.step, request.workers,
                                      m_lifetime.guard([this, request](const ticket_response &result, instant now) {
-                                         m_tickets.recordResponse(request, result, m_model.workers(), now);
-                                         onProgress(now);
+                                         const milliseconds retryDelay = m_tickets.recordResponse(request, result, now);
+                                         m_timers.after(retryDelay, m_lifetime.guard([this](instant then) { onProgress(then); }));
                                      }));
 }
 
@@ -386,6 +433,18 @@
     m_tickets.invalidateTicket(key.job + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step), workerId);
 }
 
+bool job_manager::isStepUnfinished(const std::string &step) const
+{
+    const std::optional<task_key> first = task_key::parse(step + ".0");
+    const auto active = first ? m_model.activeJobs().find(first->job) : m_model.activeJobs().end();
+    if (active == m_model.activeJobs().end()) {
+        return false;
+    }
+    const auto occurrence = active->second->occurrences().find(first->occurrence);
+    return occurrence != active->second->occurrences().end() && !occurrence->second.ended
+        && occurrence->second.unfinishedTasks[static_cast<std::size_t>(first->step)] > 0;
+}
+
 bool job_manager::isOwnershipConfirmed(instant now) const
 {
     const duration unrecorded = now - m_writer.confirmedAt();
