Give waiting steps the hosts that they need beyond CPU

What callers would see: an accepted job whose task could run and does not, for as long as the load of its pool stays low. The planner sized each pool by processor time alone, so a pool that had shrunk to a few hosts got none for a step that needed memory, GPUs, a label, one host a task, a whole gang at once, or a large part of a host beside lasting tasks; and a pool without hosts got none for best-effort tasks, which count no processor time at all. A late gang counted with the weight of late work, and never got enough hosts to start.

The new module host_demand finds the steps that have waited for a second: in pools whose waiting CPU is free, and those of long-running jobs in all pools. The planner fits their tasks into the free capacity of the pool's hosts and of those on their way, which it keeps, then into hosts that are idle elsewhere, switched off, or can be vacated, and orders those. A step that ends needs one task placed, since its tasks can run one after the other; a gang all of them or none. A step that the hosts cannot hold, or whose team is at its limit, gets none. Where no step waits in this way the planner's input and plan are as before.

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -41,6 +41,8 @@
     {
         return m_rejectedMoves.count({ host, pool }) > 0;
     }
+    // Returns the pool to which the host has a pending move; empty if there is none.
+    std::string pendingPoolOf(const std::string &host) const;
     // Number of hosts with a pending move to the pool.
     int pendingMovesTo(const std::string &pool) const;
     // Number of the given hosts that are, or may be, in maintenance.
--- a/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
@@ -10,10 +10,15 @@
 // the next one (peak_forecaster.h), and a pool whose peak is over releases its hosts immediately. When the fleet
 // is too small for the total demand, each pool gets a proportional share, and pools that hold more than theirs
 // vacate hosts as their tasks end. CPU amounts are in thousandths of a core.
+//
+// Steps that wait for something else than CPU (host_demand.h) get the hosts that hold their tasks first: those of their own pool are
+// kept for them, then come hosts that other pools can spare. Steps that the hosts cannot hold get none.
 #pragma once
 
+#include <jujubespool/jobs/host_demand.h>
 #include <jujubespool/jobs/peak_forecaster.h>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +33,13 @@
     // Runs only tasks that end by themselves.
     bool canVacate = false;
     int runs = 0;
+    resources capacity{};
+    // The part of the capacity that no run uses.
+    resources freeCapacity{};
+    // Empty if there is none.
+    std::string worker{};
+    // Null if the host has no labels. They have to outlive the plan.
+    const std::vector<std::string> *labels = nullptr;
 };
 
 // State of a pool at the time of planning.
@@ -50,8 +62,16 @@
     std::int64_t offeredCpuMillis = 0;
     // CPU of the hosts that the pool needs in addition to its load, to drain other hosts for maintenance.
     std::int64_t maintenanceCpuMillis = 0;
+    // Steps that wait for hosts, and the hosts that are moving to this pool; looked at only if there are such steps.
+    std::vector<waiting_step> waitingSteps{};
+    std::vector<planner_host> arrivingHosts{};
+    // Hosts whose move to this pool the platform rejects.
+    std::set<std::string> rejectedHosts{};
 };
 
+// True when the CPU that the pool's waiting tasks count for is free.
+bool hasFreeCpuForWaitingTasks(const pool_snapshot &pool);
+
 struct host_move
 {
     std::string host;
@@ -96,16 +116,28 @@
     {
         std::map<std::string, std::int64_t> capacity;
         std::map<std::string, bool> moved;
+        // Hosts that stay in their pool for a step that waits there.
+        std::set<std::string> kept;
+    };
+    // A host that a waiting step may use, and the pool that it is in; null for a host that is moving to the step's pool.
+    struct candidate_host
+    {
+        const pool_snapshot *pool = nullptr;
+        const planner_host *host = nullptr;
     };
     void updateTarget(const pool_snapshot &pool, duration elapsed, instant now);
     // Estimate of the first peak of a pool, rarely too high; 0 if no other pool has had a peak.
     double smallestPeakOfOthers(const std::string &pool) const;
     void raiseTargetForNextPeak(instant now);
     void scaleTargetsToCapacity(const std::vector<pool_snapshot> &pools, const allocation &state);
+    // Keeps, moves and vacates hosts for the steps of the pool that wait for hosts.
+    void provideHostsForSteps(const pool_snapshot &pool, const std::vector<pool_snapshot> &pools, allocation &state, capacity_plan &plan);
+    std::vector<candidate_host> candidatesFor(const pool_snapshot &receiver, const std::vector<pool_snapshot> &pools,
+                                              const allocation &state);
     void fillDeficits(const std::vector<pool_snapshot> &pools, allocation &state, capacity_plan &plan);
     void switchOffIdleHosts(const std::vector<pool_snapshot> &pools, allocation &state, capacity_plan &plan, instant now);
     void chooseHostsToVacate(const std::vector<pool_snapshot> &pools, allocation &state, capacity_plan &plan);
-    bool canSpare(const pool_snapshot &pool, const planner_host &host, allocation &state);
+    bool canSpare(const pool_snapshot &pool, const planner_host &host, const allocation &state);
 
     milliseconds m_hostLeadTime;
     peak_forecaster m_forecaster;
--- a/packages/jobs/include/jujubespool/jobs/pool_rebalancer.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_rebalancer.h
@@ -23,17 +23,22 @@
     }
 
 private:
-    std::vector<pool_snapshot> snapshotPools(instant now, wall_ms wall) const;
+    std::vector<pool_snapshot> snapshotPools(instant now, wall_ms wall);
     void markLeavingWorkers(const std::vector<std::string> &hosts);
     void logPoolStates(const std::vector<pool_snapshot> &pools, instant now);
     void addLoad(std::map<std::string, pool_snapshot> &pools, wall_ms wall) const;
     void addHosts(std::map<std::string, pool_snapshot> &pools, instant now) const;
+    void addWaitingSteps(std::map<std::string, pool_snapshot> &pools, instant now);
+    void addArrivingHosts(pool_snapshot &pool) const;
 
     fleet_model &m_model;
     host_controller &m_hosts;
     const host_maintenance_controller &m_maintenance;
     event_log &m_log;
     pool_capacity_planner m_planner;
+    waiting_step_finder m_waitingSteps;
+    // First tasks of the steps that wait for hosts and have been logged.
+    std::set<task_key> m_loggedSteps;
     instant m_notBefore;
     instant m_loggedAt;
 };
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -113,6 +113,12 @@
         && !(target != nullptr && target->report.state == worker_state::draining);
 }
 
+std::string host_controller::pendingPoolOf(const std::string &host) const
+{
+    const auto order = m_pendingOrders.find(host);
+    return order == m_pendingOrders.end() ? std::string() : order->second.toPool;
+}
+
 int host_controller::pendingMovesTo(const std::string &pool) const
 {
     return static_cast<int>(
--- a/packages/jobs/src/pool_capacity_planner.cpp
+++ b/packages/jobs/src/pool_capacity_planner.cpp
@@ -60,6 +60,12 @@
 
 } // namespace
 
+bool hasFreeCpuForWaitingTasks(const pool_snapshot &pool)
+{
+    const double waiting = static_cast<double>(pool.waitingCpuMillis) + LATE_WORK_RATIO * static_cast<double>(pool.lateCpuMillis);
+    return waiting <= static_cast<double>(capacityOf(pool) - pool.usedCpuMillis);
+}
+
 pool_capacity_planner::pool_capacity_planner(milliseconds hostLeadTime)
     : m_hostLeadTime(hostLeadTime)
 {
@@ -161,9 +167,73 @@
     }
 }
 
-bool pool_capacity_planner::canSpare(const pool_snapshot &pool, const planner_host &host, allocation &state)
+bool pool_capacity_planner::canSpare(const pool_snapshot &pool, const planner_host &host, const allocation &state)
 {
-    return pool.standby || state.capacity[pool.name] - host.cpuMillis >= m_pools[pool.name].targetCpuMillis;
+    if (state.moved.count(host.name) > 0 || state.kept.count(host.name) > 0) {
+        return false;
+    }
+    return pool.standby || state.capacity.at(pool.name) - host.cpuMillis >= m_pools[pool.name].targetCpuMillis;
+}
+
+std::vector<pool_capacity_planner::candidate_host>
+pool_capacity_planner::candidatesFor(const pool_snapshot &receiver, const std::vector<pool_snapshot> &pools, const allocation &state)
+{
+    std::vector<candidate_host> candidates;
+    for (const planner_host &host : receiver.hosts) {
+        if (state.moved.count(host.name) == 0) {
+            candidates.push_back({ &receiver, &host });
+        }
+    }
+    for (const planner_host &host : receiver.arrivingHosts) {
+        candidates.push_back({ nullptr, &host });
+    }
+    // Idle hosts, then hosts that are switched off, then hosts that have to be vacated.
+    allocation rest = state;
+    const auto addFrom = [&](bool fromStandby, bool idle) {
+        for (const pool_snapshot &pool : pools) {
+            for (const planner_host &host : pool.hosts) {
+                const bool available = host.free == idle && (idle || host.canVacate) && receiver.rejectedHosts.count(host.name) == 0;
+                if (pool.standby == fromStandby && pool.name != receiver.name && available && canSpare(pool, host, rest)) {
+                    rest.capacity[pool.name] -= host.cpuMillis;
+                    candidates.push_back({ &pool, &host });
+                }
+            }
+        }
+    };
+    addFrom(false, true);
+    addFrom(true, true);
+    addFrom(false, false);
+    return candidates;
+}
+
+void pool_capacity_planner::provideHostsForSteps(const pool_snapshot &pool, const std::vector<pool_snapshot> &pools, allocation &state,
+                                                 capacity_plan &plan)
+{
+    const std::vector<candidate_host> candidates = candidatesFor(pool, pools, state);
+    std::vector<host_space> spaces;
+    spaces.reserve(candidates.size());
+    for (const candidate_host &candidate : candidates) {
+        const bool stays = candidate.pool == nullptr || candidate.pool == &pool;
+        const planner_host &host = *candidate.host;
+        spaces.push_back({ host.name, host.worker, stays ? host.freeCapacity : host.capacity, host.labels });
+    }
+    step_fitter fitter(std::move(spaces));
+    for (const waiting_step &step : pool.waitingSteps) {
+        for (const std::size_t used : fitter.fit(step).spaces) {
+            const auto &[from, host] = candidates[used];
+            if (from == &pool) {
+                state.kept.insert(host->name);
+            } else if (from != nullptr && state.moved.emplace(host->name, true).second) {
+                state.capacity[from->name] -= host->cpuMillis;
+                if (host->free) {
+                    state.capacity[pool.name] += host->cpuMillis;
+                    plan.moves.push_back({ host->name, pool.name });
+                } else {
+                    plan.hostsToVacate.push_back(host->name);
+                }
+            }
+        }
+    }
 }
 
 void pool_capacity_planner::fillDeficits(const std::vector<pool_snapshot> &pools, allocation &state, capacity_plan &plan)
@@ -213,7 +283,7 @@
     }
     for (const pool_snapshot &pool : pools) {
         for (const planner_host &host : pool.hosts) {
-            const bool idle = !pool.standby && host.free && !state.moved[host.name];
+            const bool idle = !pool.standby && host.free;
             const milliseconds minIdleTime = m_forecaster.isPeakOver(pool.name) ? IDLE_TIME_BEFORE_OFF_AFTER_PEAK : IDLE_TIME_BEFORE_OFF;
             if (idle && now - m_pools[pool.name].freeSince[host.name] >= minIdleTime && canSpare(pool, host, state)) {
                 state.capacity[pool.name] -= host.cpuMillis;
@@ -240,7 +310,7 @@
     for (const pool_snapshot &pool : pools) {
         std::vector<const planner_host *> hosts;
         for (const planner_host &host : pool.hosts) {
-            if (!pool.standby && host.canVacate && !host.free && !state.moved[host.name]) {
+            if (!pool.standby && host.canVacate && !host.free && state.moved.count(host.name) == 0 && state.kept.count(host.name) == 0) {
                 hosts.push_back(&host);
             }
         }
@@ -278,6 +348,14 @@
     capacity_plan plan;
     if (m_hadLoad) {
         scaleTargetsToCapacity(pools, state);
+    }
+    for (const pool_snapshot &pool : pools) {
+        if (!pool.standby && !pool.waitingSteps.empty()) {
+            m_hadLoad = true;
+            provideHostsForSteps(pool, pools, state, plan);
+        }
+    }
+    if (m_hadLoad) {
         fillDeficits(pools, state, plan);
         if (mayShrink) {
             switchOffIdleHosts(pools, state, plan, now);
--- a/packages/jobs/src/pool_rebalancer.cpp
+++ b/packages/jobs/src/pool_rebalancer.cpp
@@ -151,8 +151,10 @@
             && std::any_of(target->runs.begin(), target->runs.end(), [](const auto &entry) { return entry.second.longRunning; });
         if (!draining && !leaving) {
             const int runs = target == nullptr ? 0 : static_cast<int>(target->runs.size());
+            const bool canVacate = m_hosts.acceptsOrders(host, now) && !hasLongRunning;
+            const resources freeCapacity = target == nullptr ? host.capacity : target->freeCapacity();
             found->second.hosts.push_back(
-                { name, host.capacity.cpuMillis, isFree, m_hosts.acceptsOrders(host, now) && !hasLongRunning, runs });
+                { name, host.capacity.cpuMillis, isFree, canVacate, runs, host.capacity, freeCapacity, host.worker, &host.labels });
         }
     }
     for (auto &[name, pool] : pools) {
@@ -164,7 +166,50 @@
     }
 }
 
-std::vector<pool_snapshot> pool_rebalancer::snapshotPools(instant now, wall_ms wall) const
+void pool_rebalancer::addArrivingHosts(pool_snapshot &pool) const
+{
+    for (const auto &[name, host] : m_hosts.hosts()) {
+        if (m_hosts.pendingPoolOf(name) == pool.name) {
+            pool.arrivingHosts.push_back(
+                { name, host.capacity.cpuMillis, false, false, 0, host.capacity, host.capacity, {}, &host.labels });
+        }
+        if (m_hosts.isMoveRejected(name, pool.name)) {
+            pool.rejectedHosts.insert(name);
+        }
+    }
+}
+
+void pool_rebalancer::addWaitingSteps(std::map<std::string, pool_snapshot> &pools, instant now)
+{
+    std::set<std::string> poolsWithFreeCpu;
+    for (const auto &[name, pool] : pools) {
+        if (hasFreeCpuForWaitingTasks(pool)) {
+            poolsWithFreeCpu.insert(name);
+        }
+    }
+    std::set<task_key> logged;
+    for (pool_step &found : m_waitingSteps.find(m_model, poolsWithFreeCpu, now)) {
+        const auto pool = pools.find(found.pool);
+        if (pool == pools.end()) {
+            continue;
+        }
+        const task_key &first = found.step.first;
+        if (m_loggedSteps.count(first) == 0) {
+            m_log.write("step-needs-hosts",
+                        { { "pool", found.pool }, { "task", first.text() }, { "tasks", std::to_string(found.step.tasks) } });
+        }
+        logged.insert(first);
+        pool->second.waitingSteps.push_back(std::move(found.step));
+    }
+    m_loggedSteps = std::move(logged);
+    for (auto &[name, pool] : pools) {
+        if (!pool.waitingSteps.empty()) {
+            addArrivingHosts(pool);
+        }
+    }
+}
+
+std::vector<pool_snapshot> pool_rebalancer::snapshotPools(instant now, wall_ms wall)
 {
     std::map<std::string, pool_snapshot> pools;
     for (const auto &[name, config] : m_model.config().pools) {
@@ -173,6 +218,7 @@
     }
     addHosts(pools, now);
     addLoad(pools, wall);
+    addWaitingSteps(pools, now);
     std::vector<pool_snapshot> list;
     list.reserve(pools.size());
     for (auto &[name, pool] : pools) {
