--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -123,6 +123,8 @@
     }
     // The key in the form "job.occurrence.step.index".
     std::string text() const;
+    // The key of the task's step in the form "job.occurrence.step", by which the policy service knows it.
+    std::string stepText() const;
     // Empty if the text does not have that form.
     static std::optional<task_key> parse(const std::string &text);
 };
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -114,6 +114,11 @@
     return fmt::format("{}.{}.{}.{}", job, occurrence, step, index);
 }
 
+std::string task_key::stepText() const
+{
+    return fmt::format("{}.{}.{}", job, occurrence, step);
+}
+
 std::optional<task_key> task_key::parse(const std::string &text)
 {
     std::array<std::string_view, 4> parts;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -382,7 +382,7 @@
 
 void job_manager::onBadTicket(const task_key &key, const std::string &workerId)
 {
-    m_tickets.invalidateTicket(key.job + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step), workerId);
+    m_tickets.invalidateTicket(key.stepText(), workerId);
 }
 
 bool job_manager::isOwnershipConfirmed(instant now) const
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -1,7 +1,6 @@
 #include <jujubespool/jobs/run_scheduler.h>
 
 #include <algorithm>
-#include <fmt/format.h>
 #include <jujubespool/jobs/placement.h>
 #include <jujubespool/jobs/team_shares.h>
 #include <tuple>
@@ -18,7 +17,7 @@
 
 std::string stepText(const task_key &key)
 {
-    return fmt::format("{}.{}.{}", key.job, key.occurrence, key.step);
+    return key.stepText();
 }
 
 // Places the waiting tasks of the jobs that are passed to schedule(), in that order.
