Report accepted tasks that do not run, with the reason

What operators saw: a task that waited wrote no line, and neither did a run without an answer, so that nothing told why an accepted job did not run.

--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -12,6 +12,7 @@
 #include <jujubespool/jobs/ledger_writer.h>
 #include <jujubespool/jobs/pool_rebalancer.h>
 #include <jujubespool/jobs/run_supervisor.h>
+#include <jujubespool/jobs/wait_reporter.h>
 
 namespace jujubespool {
 
@@ -129,6 +130,7 @@
     host_controller m_hostController;
     host_maintenance_controller m_hostMaintenance;
     pool_rebalancer m_poolRebalancer;
+    wait_reporter m_waitReporter;
     bool m_scheduleNeeded = false;
     bool m_resigned = false;
     bool m_ownershipLost = false;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -27,6 +27,7 @@
     , m_hostController(m_model, gateways.hosts, log, owned.holder, owned.epoch)
     , m_hostMaintenance(m_model, m_runs, m_hostController, gateways.status, log)
     , m_poolRebalancer(m_model, m_hostController, m_hostMaintenance, log)
+    , m_waitReporter(m_model, m_tickets, log)
 {
     m_writer.confirm(owned.claimSentAt);
     m_writer.onFenced([this](instant now) { onFenced(now); });
@@ -264,6 +265,7 @@
         removeExpiredJobs(wall);
     }
     processChanges(now);
+    m_waitReporter.tick({ now, storeUnresponsiveFor(now), isOwnershipConfirmed(now) }, wall);
 }
 
 void job_manager::removeExpiredJobs(wall_ms wall)
