Let explain summarize why a job waited last

jujubespool explain JOB shows the task-waiting lines of the job as it shows all its lines; its summary now has the last reason and time.

Test: job_event_collector showsTheLinesOfAWaitingTaskAndSummarizesTheLastReason, with lines out of order and of another job.

--- a/packages/cli/src/job_event_collector.cpp
+++ b/packages/cli/src/job_event_collector.cpp
@@ -100,9 +100,14 @@
     const auto last = std::find_if(jobLines.rbegin(), jobLines.rend(), [](const log_line &line) { return line.event == "job-changed"; });
     const std::string state
         = last == jobLines.rend() ? "no end in these logs" : fieldValue(*last, "state") + " after " + fieldValue(*last, "age_ms") + " ms";
-    return fmt::format("job {}: {} submissions, {} refusals, {} starts, {} failed runs, {} lapsed runs, {}", m_id,
+    const auto lastWait
+        = std::find_if(jobLines.rbegin(), jobLines.rend(), [](const log_line &line) { return line.event == "task-waiting"; });
+    const std::string wait = lastWait == jobLines.rend()
+        ? ""
+        : ", last wait " + fieldValue(*lastWait, "reason") + " for " + fieldValue(*lastWait, "waited_ms") + " ms";
+    return fmt::format("job {}: {} submissions, {} refusals, {} starts, {} failed runs, {} lapsed runs{}, {}", m_id,
                        countLines("submit", nullptr, ""), countLines("refused", nullptr, ""), countLines("start", nullptr, ""),
-                       countLines("run-ended", "end", "failed"), countLines("run-ended", "end", "lapsed"), state);
+                       countLines("run-ended", "end", "failed"), countLines("run-ended", "end", "lapsed"), wait, state);
 }
 
 std::vector<std::string> job_event_collector::timeline() const
--- a/packages/cli/test/job_event_collector_test.cpp
+++ b/packages/cli/test/job_event_collector_test.cpp
@@ -46,6 +46,23 @@
     cr_assert(timeline[4].find("event=job-changed") != std::string::npos);
 }
 
+Test(job_event_collector, showsTheLinesOfAWaitingTaskAndSummarizesTheLastReason)
+{
+    const auto timeline = timelineOf({
+        "time=2026-01-01T00:00:01Z event=submit job=" + ID + " queue=q accepted=yes",
+        "time=2026-01-01T00:00:14Z event=task-waiting task=" + ID + ".0.0.7 queue=q pool=p reason=no-free-capacity waited_ms=13000",
+        "time=2026-01-01T00:00:04Z event=task-waiting task=" + ID + ".0.0.7 queue=q pool=p reason=team-limit waited_ms=3000",
+        "time=2026-01-01T00:00:15Z event=task-waiting task=00000000000000a1.0.0.0 queue=q pool=p reason=required-label waited_ms=9000",
+    });
+    cr_assert_eq(timeline.size(), 4);
+    cr_assert_eq(timeline[0],
+                 "job " + ID
+                     + ": 1 submissions, 0 refusals, 0 starts, 0 failed runs, 0 lapsed runs, last wait no-free-capacity for 13000 ms,"
+                       " no end in these logs");
+    cr_assert(timeline[2].find("reason=team-limit") != std::string::npos);
+    cr_assert(timeline[3].find("reason=no-free-capacity") != std::string::npos);
+}
+
 // The timeline includes events of the job's workers and of the owner between the first and the last line of the job. Events
 // of other workers and events outside this period are excluded.
 Test(job_event_collector, includesEventsOfItsWorkersAndOfTheOwner)
