--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -55,6 +55,7 @@
     bool inDoubt = false;
     // A stop order has been sent.
     bool stopping = false;
+    instant placedAt;
     // Time of the first start order. No order has been sent if it is not set.
     std::optional<instant> orderedAt;
     instant confirmedAt;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -32,6 +32,7 @@
     , m_hostController(m_model, gateways.hosts, log, owned.holder, owned.epoch)
     , m_hostMaintenance(m_model, m_runs, m_hostController, gateways.status, log)
     , m_poolRebalancer(m_model, m_hostController, m_hostMaintenance, log)
+    , m_waitReporter(m_model, m_tickets, log)
 {
     m_writer.confirm(owned.claimSentAt);
     m_writer.onFenced([this](instant now) { onFenced(now); });
@@ -293,6 +294,7 @@
         m_tickets.prune([this](const std::string &step) { return isStepUnfinished(step); }, m_model.workers());
     }
     processChanges(now);
+    m_waitReporter.tick({ now, storeUnresponsiveFor(now), isOwnershipConfirmed(now) }, wall);
 }
 
 void job_manager::removeExpiredJobs(wall_ms wall)
@@ -430,7 +432,7 @@
 
 void job_manager::onBadTicket(const task_key &key, const std::string &workerId)
 {
-    m_tickets.invalidateTicket(key.job + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step), workerId);
+    m_tickets.invalidateTicket(key.stepText(), workerId);
 }
 
 bool job_manager::isStepUnfinished(const std::string &step) const
