Liveness test: random jobs and faults on the simulated platform

After the last fault each accepted job has to run or to end within the time that the leases and the fences allow, and the resources counted for teams and workers have to be those of the placed runs. fake_platform plays the steps of jobs that a test has described: capacity, labels, tickets, gangs, checkpoints, stops that take time, hosts that move. Two families fail and are played only by name: gangs (a gang of which one end was noted never starts again) and removed queues (unknown to the next owner).

--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -28,6 +28,13 @@
     milliseconds startDelay{ 0 };
     // Number of appends executed by the store.
     int appends = 0;
+    // Additional time that each call to the store takes.
+    milliseconds storeDelay{ 0 };
+    // Workers execute these orders, but their responses are lost.
+    bool startResponsesLost = false;
+    bool stopResponsesLost = false;
+    // The process receives neither responses nor timer events; it gets them late, once it runs again.
+    bool paused = false;
 };
 
 struct fake_run
@@ -36,6 +43,10 @@
     instant endsAt;
     run_outcome plannedEnd = run_outcome::done;
     resources need;
+    // When the task began to work, and the work that its checkpoint contained; only for requested jobs.
+    std::optional<instant> workingSince = std::nullopt;
+    milliseconds savedWork{ 0 };
+    bool stopping = false;
 };
 
 struct fake_worker
@@ -50,6 +61,19 @@
     std::map<task_key, int> highestEndedRun;
     int starts = 0;
     bool failsAllRuns = false;
+    // When the ends happened, by their numbers, and when the lease has lapsed last.
+    std::map<std::uint64_t, instant> endedAt;
+    instant lapsedAt;
+    // The worker refuses all start orders: with an answer 503, or because of its room.
+    bool refusesStarts = false;
+    bool hasNoRoom = false;
+};
+
+// The members of one run of a gang that are present on workers.
+struct fake_gang
+{
+    std::map<int, std::string> workerOfMember;
+    bool working = false;
 };
 
 class fake_platform : public timer_service
@@ -77,13 +101,41 @@
     // Records that nothing runs on the worker any more, after a crash.
     void clearRunningOn(const std::string &id);
     void unlistWorker(const std::string &id);
+    // Publishes the worker's present report.
+    void listWorker(const std::string &id);
     void setConfig(const fleet_config &config);
     // Duration of each run of a task; 200 ms by default.
     std::function<milliseconds(const task_key &)> runTime;
     // Whether each run of a task fails on any worker; none does by default.
     std::function<bool(const task_key &)> alwaysFails;
 
+    // Jobs that a process accepts with the body "job:ID". Their runs follow their steps: capacity, labels, tickets, gangs, checkpoints
+    // and the time of a stop.
+    std::map<std::string, job_request> requests;
+    // Whether this run of a task of a requested job fails.
+    std::function<bool(const task_key &, int run)> failsRun;
+    // Whether the policy allows the step on the worker.
+    std::function<bool(const std::string &step, const std::string &worker)> policyAllows;
+    milliseconds stopTime{ 0 };
+    milliseconds gangWait{ 3000 };
+    // Time until a moved host has a new worker; without it, a move keeps the worker.
+    milliseconds moveTime{ 0 };
+    // Everything that runs on the worker is gone, and it answers nothing.
+    void crashWorker(const std::string &id);
+    const std::map<std::string, fake_worker> &workers() const
+    {
+        return m_workers;
+    }
+    // Number of ends `done`, or of recorded ends `failed`, of a task.
+    int doneEnds(const task_key &key) const;
+    int recordedFailures(const task_key &key) const;
+    int failedEnds(const task_key &key) const;
+
     platform_clients clientsOf(const std::string &process);
+    // Timers of one process, which are delayed while it is paused.
+    timer_service &timersOf(const std::string &process);
+    // Delivers to a process that was paused what it has not received.
+    void resume(const std::string &process);
     fake_links &linksOf(const std::string &process);
     // The hosts listed by the host service, and the move orders it received, as pairs of process and host.
     std::vector<host_entry> hosts;
@@ -121,8 +173,27 @@
     feed_page read(feed which, std::uint64_t from) const;
     order_result startOn(fake_worker &target, const start_order &order);
     void endRun(fake_worker &target, task_key key, run_outcome outcome);
+    void extendLease(fake_worker &target, instant until);
+    // Ends up to this number are recorded. An end `done` whose worker's lease has lapsed since may be disregarded.
+    void recordEnds(fake_worker &target, std::uint64_t number);
+    void stopRun(fake_worker &target, const task_key &key);
     void expireLeases();
     void finishDueRuns();
+    // fake_platform_jobs.cpp: how workers play the tasks of requested jobs.
+    const step_spec *requestedStep(const task_key &key) const;
+    resources needOf(const task_key &key) const;
+    std::optional<order_result> refusalOf(const fake_worker &target, const start_order &order) const;
+    bool hasTicket(const fake_worker &target, const start_order &order) const;
+    void checkStart(const fake_worker &target, const start_order &order);
+    void beginRun(fake_worker &target, const start_order &order);
+    void work(fake_worker &target, const task_key &key, fake_run &run);
+    void joinGang(const start_order &order);
+    void leaveGang(const task_key &key, int run, run_outcome outcome);
+    milliseconds workDone(const fake_run &run) const;
+    std::string checkpointOf(const task_key &key, const fake_run &run);
+    task_key checkpointOwner(const task_key &key) const;
+    ticket_response ticketsFor(const std::string &step, const std::vector<std::string> &workers);
+    host_order_status moveHost(const std::string &name, const std::string &pool);
 
     instant m_now;
     std::uint64_t m_nextEventNumber = 0;
@@ -134,6 +205,14 @@
     std::map<std::string, fake_worker> m_workers;
     std::map<task_key, std::set<std::string>> m_runningOn;
     std::set<task_key> m_acknowledgedTasks;
+    std::map<std::pair<task_key, int>, fake_gang> m_gangs;
+    std::map<task_key, std::set<std::string>> m_checkpoints;
+    std::map<task_key, int> m_doneEnds;
+    std::map<task_key, int> m_recordedFailures;
+    std::map<task_key, int> m_failedEnds;
+    std::map<std::string, instant> m_ticketsIssuedAt;
+    std::map<std::string, queue_config> m_knownQueues;
+    int m_movedWorkers = 0;
     std::vector<std::string> m_violations;
     int m_doneRuns = 0;
     std::shared_ptr<const fleet_config> m_config;
