--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -185,6 +185,7 @@
     std::optional<order_result> refusalOf(const fake_worker &target, const start_order &order) const;
     bool hasTicket(const fake_worker &target, const start_order &order) const;
     void checkStart(const fake_worker &target, const start_order &order);
+    void checkTeamLimit(const task_key &key);
     void beginRun(fake_worker &target, const start_order &order);
     void work(fake_worker &target, const task_key &key, fake_run &run);
     void joinGang(const start_order &order);
--- a/packages/manager/test/fake_platform_jobs.cpp
+++ b/packages/manager/test/fake_platform_jobs.cpp
@@ -132,6 +132,7 @@
     if (queue != m_knownQueues.end() && queue->second.pool != target.report.pool) {
         m_violations.push_back("started in another pool: " + text);
     }
+    checkTeamLimit(order.task);
     if (!order.checkpoint.empty() && m_checkpoints[checkpointOwner(order.task)].count(order.checkpoint) == 0) {
         m_violations.push_back("started with a checkpoint that is not its own: " + text);
     }
@@ -140,6 +141,25 @@
     }
 }
 
+void fake_platform::checkTeamLimit(const task_key &key)
+{
+    const std::string &name = requests.at(key.job).team;
+    const auto team = m_config->teams.find(name);
+    if (team == m_config->teams.end() || team->second.limit.cpuMillis == 0) {
+        return;
+    }
+    std::int64_t used = requestedStep(key)->taskResources.cpuMillis;
+    for (const auto &[id, target] : m_workers) {
+        for (const auto &[other, run] : target.running) {
+            const bool same = requests.count(other.job) > 0 && requests.at(other.job).team == name;
+            used += same ? requestedStep(other)->taskResources.cpuMillis : 0;
+        }
+    }
+    if (used > team->second.limit.cpuMillis) {
+        m_violations.push_back("started beyond its team's limit: " + key.text());
+    }
+}
+
 void fake_platform::beginRun(fake_worker &target, const start_order &order)
 {
     const step_spec *step = requestedStep(order.task);
