--- a/packages/manager/test/fake_platform_jobs.cpp
+++ b/packages/manager/test/fake_platform_jobs.cpp
@@ -52,6 +52,11 @@
     if (step == nullptr) {
         return std::nullopt;
     }
+    const std::int64_t clock
+        = duration_cast<milliseconds>(m_now.time_since_epoch()).count() + static_cast<std::int64_t>(target.report.id.size()) * 1000;
+    if (order.untilMs <= clock) {
+        return order_result{ order_status::lease_expired, std::nullopt, {} };
+    }
     if (!hasTicket(target, order)) {
         return order_result{ order_status::bad_ticket, std::nullopt, {} };
     }
