Leave the hosts that a pool gives away to steps that would not go on otherwise

Such a worker is now the last choice for lasting steps and gangs, which need all their tasks at once, and for steps of which nothing runs.

--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -60,6 +60,14 @@
         && target.mayGetTasks(now);
 }
 
+bool mayUseLeavingWorkers(const step_spec &step, const std::vector<task_progress> &tasks)
+{
+    const auto isAssigned = [](const task_progress &task) {
+        return task.phase == task_phase::assigned;
+    };
+    return step.longRunning || step.gang || std::none_of(tasks.begin(), tasks.end(), isAssigned);
+}
+
 bool fitsWhenEmpty(const worker &target, const step_spec &step)
 {
     const bool hasRequiredLabel = step.requiredLabel.empty() || target.hasLabel(step.requiredLabel);
@@ -77,6 +85,9 @@
         || !fitsWhenEmpty(target, step)) {
         return false;
     }
+    if (target.leavingPool && !request.mayUseLeavingWorkers) {
+        return false;
+    }
     const bool wrongRack = !request.rack.empty() && target.rack() != request.rack;
     const task_key &task = request.task;
     const bool limitReached = step.maxPerWorker > 0 && target.countTasks(task.job, task.occurrence, task.step) >= step.maxPerWorker;
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -36,6 +36,7 @@
             if (acceptsNewTasks(target, now)) {
                 pool_workers &pool = m_pools[target.report.pool];
                 pool.workers.push_back(&target);
+                pool.hasLeavingWorkers = pool.hasLeavingWorkers || target.leavingPool;
                 if (pool.dataCenters.count(target.report.dataCenter) == 0) {
                     pool.dataCenters.insert(target.report.dataCenter);
                 }
@@ -87,6 +88,8 @@
         std::vector<worker *> workers;
         std::set<std::string> dataCenters;
         std::vector<rejected_size> rejected;
+        // Such workers are open to some steps only, so a task that may not use them says nothing about the others.
+        bool hasLeavingWorkers = false;
 
         // All steps of a job get the same data centre unless a data centre is lost. The jobs are spread evenly.
         std::string preferredDataCenterOf(const std::string &job) const
@@ -232,9 +235,10 @@
     placement_request requestFor(const job &current, const queue_config &queue, const task_key &key) const
     {
         const step_spec &step = current.step(key.step);
-        placement_request request{ key, &step, queue.pool, {}, {}, {}, {} };
+        placement_request request{ key, &step, queue.pool, {}, {}, {}, {}, false };
         const auto &tasks = current.occurrences().at(key.occurrence).steps[static_cast<std::size_t>(key.step)];
         const task_progress &task = tasks[static_cast<std::size_t>(key.index)];
+        request.mayUseLeavingWorkers = mayUseLeavingWorkers(step, tasks);
         if (task.failures > 0 || step.longRunning) {
             request.avoidedWorker = task.worker;
         }
@@ -267,7 +271,7 @@
         }
         worker *target = chooseWorker(pool.workers, request, m_now);
         if (target == nullptr) {
-            if (needsOnlyCapacity(step, queue)) {
+            if (needsOnlyCapacity(step, queue) && (request.mayUseLeavingWorkers || !pool.hasLeavingWorkers)) {
                 pool.rejected.push_back({ step.taskResources, 1 });
             }
             return false;
--- a/packages/jobs/src/wait_reason.cpp
+++ b/packages/jobs/src/wait_reason.cpp
@@ -109,7 +109,8 @@
 
     placement_request requestFor(const step_spec &step) const
     {
-        return { m_key, &step, m_queue.pool, {}, {}, {}, {} };
+        const auto &tasks = m_job.occurrences().at(m_key.occurrence).steps[static_cast<std::size_t>(m_key.step)];
+        return { m_key, &step, m_queue.pool, {}, {}, {}, {}, mayUseLeavingWorkers(step, tasks) };
     }
 
     bool hasTicket(const worker &target) const
