--- a/packages/jobs/include/jujubespool/jobs/placement.h
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -30,8 +30,8 @@
     bool mayUseLeavingWorkers = false;
 };
 
-// Whether a task of the step may run on a worker that leaves the pool: always if it lasts or starts together with others, otherwise while no
-// task of the step runs. A step that ends goes on with the other workers, since the pool could give no host away if it took all.
+// Whether a task of the step may run on a worker that leaves the pool: always if it lasts or starts together with others, otherwise while
+// no task of the step runs. A step that ends goes on with the other workers, since the pool could give no host away if it took all.
 bool mayUseLeavingWorkers(const step_spec &step, const std::vector<task_progress> &tasks);
 
 // True when the worker is listed, ready and polled, and is neither avoided nor cordoned.
--- a/packages/jobs/src/wait_reason.cpp
+++ b/packages/jobs/src/wait_reason.cpp
@@ -165,8 +165,8 @@
     wait_reason reasonForNoTicket() const
     {
         const std::string step = m_key.stepText();
-        const bool allDenied = std::all_of(m_excluded.begin(), m_excluded.end(),
-                                           [&](const worker *target) { return m_tickets.isDenied(step, *target); });
+        const bool allDenied
+            = std::all_of(m_excluded.begin(), m_excluded.end(), [&](const worker *target) { return m_tickets.isDenied(step, *target); });
         if (allDenied) {
             return wait_reason::ticket_denied;
         }
