--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -8,8 +8,10 @@
 
 constexpr milliseconds LEASE_LENGTH{ 3200 };
 constexpr milliseconds LEASE_MARGIN{ 200 };
-// Time between two tasks that a worker gets while it is suspected to fail all runs.
-constexpr milliseconds TRIAL_INTERVAL{ 2000 };
+// Maximum time between two tasks that a worker gets while it is suspected to fail all runs.
+constexpr milliseconds MAX_TRIAL_INTERVAL{ 2000 };
+// The next one follows a failed run after this time.
+constexpr milliseconds PAUSE_AFTER_FAILURE{ 500 };
 
 } // namespace
 
@@ -130,7 +132,7 @@
     placed.tailLatencyTarget = step.tailLatencyTarget;
     target.place(key, placed);
     if (target.isSuspectedToFailRuns()) {
-        target.nextTrialAt = now + TRIAL_INTERVAL;
+        target.nextTrialAt = now + MAX_TRIAL_INTERVAL;
     }
     m_usage.add(owningJob.request().team, placed.need);
     if (owningJob.state() == job_state::queued) {
@@ -264,16 +266,13 @@
 void fleet_model::recordFailure(const task_key &key, worker &failed, instant now)
 {
     task_progress &task = *find(key.job)->task(key);
-    const bool wasSuspected = failed.isSuspectedToFailRuns();
     task.failedOn.insert(failed.report.id);
     if (task.failedOn.size() == 1) {
         failed.failedTasks.insert(key);
     } else {
         forgiveWorkers(task, key);
     }
-    if (!wasSuspected && failed.isSuspectedToFailRuns()) {
-        failed.nextTrialAt = now + TRIAL_INTERVAL;
-    }
+    failed.nextTrialAt = now + PAUSE_AFTER_FAILURE;
 }
 
 void fleet_model::forgiveWorkers(const task_progress &task, const task_key &key)
