--- a/packages/jobs/include/jujubespool/jobs/wait_reason.h
+++ b/packages/jobs/include/jujubespool/jobs/wait_reason.h
@@ -21,7 +21,7 @@
     ownership_not_confirmed,
     // The tasks of a gang start together, and at least one of them does not wait.
     gang_incomplete,
-    pool_without_workers,
+    no_worker_in_pool,
     // No worker of the pool has the required label.
     required_label,
     // The task fits on no worker of the pool, even if nothing else ran there.
@@ -32,7 +32,7 @@
     workers_cordoned,
     // They do not answer polls.
     workers_silent,
-    workers_suspected_to_fail_runs,
+    workers_failing_runs,
     workers_avoided,
     team_limit,
     max_per_worker,
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -102,7 +102,7 @@
     std::optional<instant> startUnansweredAt;
     // The worker gets no new tasks, because its host is about to be maintained or moved.
     bool cordoned = false;
-    // Another pool needs the host more, so the worker gets only tasks that no other worker can take.
+    // Another pool needs the host more, so the worker is the last choice, and closed to some steps (mayUseLeavingWorkers).
     bool leavingPool = false;
     // The host has to be emptied for maintenance at some time.
     bool dueForMaintenance = false;
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -263,9 +263,10 @@
     return placed != target->runs.end() && placed->second.confirmed && !placed->second.stopping && placed->second.progressPercent >= 100;
 }
 
-void fleet_model::recordFailure(const task_key &key, worker &failed, instant now)
+bool fleet_model::recordFailure(const task_key &key, worker &failed, instant now)
 {
     task_progress &task = *find(key.job)->task(key);
+    const bool wasSuspected = failed.isSuspectedToFailRuns();
     task.failedOn.insert(failed.report.id);
     if (task.failedOn.size() == 1) {
         failed.failedTasks.insert(key);
@@ -273,6 +274,7 @@
         forgiveWorkers(task, key);
     }
     failed.nextTrialAt = now + PAUSE_AFTER_FAILURE;
+    return !wasSuspected && failed.isSuspectedToFailRuns();
 }
 
 void fleet_model::forgiveWorkers(const task_progress &task, const task_key &key)
--- a/packages/jobs/src/gang_placement.cpp
+++ b/packages/jobs/src/gang_placement.cpp
@@ -7,12 +7,7 @@
 
 int countFittingTasks(const worker &target, const placement_request &request, instant now)
 {
-    if (!isEligible(target, request, now)) {
-        return 0;
-    }
-    // A suspected worker gets one task at a time.
-    const std::int64_t slots = countFreeSlots(target, request);
-    return static_cast<int>(target.isSuspectedToFailRuns() ? std::min<std::int64_t>(slots, 1) : slots);
+    return isEligible(target, request, now) ? static_cast<int>(countFreeSlots(target, request)) : 0;
 }
 
 std::optional<std::string> rackForGang(const std::vector<worker *> &workers, const placement_request &request, instant now)
@@ -23,6 +18,9 @@
     for (const worker *target : workers) {
         const int count = countFittingTasks(*target, request, now);
         total = std::min(step.count, total + count);
+        if (!step.sameRack && total >= step.count) {
+            return std::string();
+        }
         if (step.sameRack && count > 0) {
             const std::string rack = target->rack();
             int &onRack = countOnRack[rack];
@@ -30,8 +28,6 @@
             if (onRack >= step.count) {
                 return rack;
             }
-        } else if (total >= step.count) {
-            return std::string();
         }
     }
     return total >= step.count ? std::optional<std::string>(std::string()) : std::nullopt;
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -126,7 +126,8 @@
         const task_key &task = request.task;
         slots = std::min<std::int64_t>(slots, step.maxPerWorker - target.countTasks(task.job, task.occurrence, task.step));
     }
-    return std::min<std::int64_t>(slots, step.count);
+    // A suspected worker gets one task at a time.
+    return std::min<std::int64_t>(slots, target.isSuspectedToFailRuns() ? 1 : step.count);
 }
 
 worker *chooseWorker(const std::vector<worker *> &workers, const placement_request &request, instant now)
--- a/packages/jobs/src/pool_rebalancer.cpp
+++ b/packages/jobs/src/pool_rebalancer.cpp
@@ -145,11 +145,11 @@
         const bool draining = target != nullptr && (target->report.state == worker_state::draining || !target->listed);
         const bool unused = target == nullptr ? found->second.standby : target->runs.empty();
         const bool isFree = m_hosts.acceptsOrders(host, now) && unused;
-        // A worker that does not answer or fails provides no capacity.
-        const bool leaving = target != nullptr && (target->cordoned || !target->mayGetTasks(now));
+        // A worker that is cordoned, does not answer or is avoided provides no capacity.
+        const bool unusable = target != nullptr && (target->cordoned || !target->mayGetTasks(now));
         const bool hasLongRunning = target != nullptr
             && std::any_of(target->runs.begin(), target->runs.end(), [](const auto &entry) { return entry.second.longRunning; });
-        if (!draining && !leaving) {
+        if (!draining && !unusable) {
             const int runs = target == nullptr ? 0 : static_cast<int>(target->runs.size());
             const bool canVacate = m_hosts.acceptsOrders(host, now) && !hasLongRunning;
             const resources freeCapacity = target == nullptr ? host.capacity : target->freeCapacity();
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -276,9 +276,7 @@
         return;
     }
     target.startUnansweredAt.reset();
-    const bool wasSuspected = target.isSuspectedToFailRuns();
-    m_model.recordFailure(finished.task, target, now);
-    if (!wasSuspected && target.isSuspectedToFailRuns()) {
+    if (m_model.recordFailure(finished.task, target, now)) {
         m_log.write("worker-avoided",
                     { { "worker", target.report.id },
                       { "tasks_failed", std::to_string(target.failedTasks.size()) },
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -17,11 +17,6 @@
 // Maximum number of requests to the policy service that may be pending at the same time.
 constexpr std::size_t MAX_PENDING_REQUESTS = 8;
 
-std::string stepText(const task_key &key)
-{
-    return key.stepText();
-}
-
 // Places the waiting tasks of the jobs that are passed to schedule(), in that order.
 class scheduling_pass
 {
@@ -147,7 +142,7 @@
     void requestTicketsFor(const job &current, const queue_config &queue, const std::vector<task_key> &waiting)
     {
         const step_spec &step = current.step(waiting.front().step);
-        const std::string text = stepText(waiting.front());
+        const std::string text = waiting.front().stepText();
         const std::size_t tasksAtOnce = step.gang ? static_cast<std::size_t>(step.count) : 1;
         if (waiting.size() < tasksAtOnce || !teamMayRun(current, step, static_cast<int>(tasksAtOnce)) || !m_tickets.mayRequest(text, m_now)
             || m_tickets.requestsInFlight() + m_result.ticketRequests.size() >= MAX_PENDING_REQUESTS) {
@@ -166,7 +161,7 @@
     // that have to start together would not fit even with a ticket for each of them.
     std::vector<std::string> workersToAsk(const job &current, const queue_config &queue, const task_key &key, std::size_t tasksAtOnce)
     {
-        const std::string text = stepText(key);
+        const std::string text = key.stepText();
         const pool_workers &pool = m_pools[queue.pool];
         placement_request request = requestFor(current, queue, key);
         request.isPermitted = nullptr;
@@ -243,7 +238,7 @@
             request.avoidedWorker = task.worker;
         }
         if (queue.policy) {
-            request.isPermitted = [this, text = stepText(key)](const worker &target) {
+            request.isPermitted = [this, text = key.stepText()](const worker &target) {
                 return m_tickets.ticketFor(text, target, m_now) != nullptr;
             };
         }
@@ -279,8 +274,8 @@
         std::string ticket;
         std::optional<instant> ticketValidUntil;
         if (queue.policy) {
-            ticket = *m_tickets.ticketFor(stepText(key), *target, m_now);
-            ticketValidUntil = m_tickets.validUntil(stepText(key), *target);
+            ticket = *m_tickets.ticketFor(key.stepText(), *target, m_now);
+            ticketValidUntil = m_tickets.validUntil(key.stepText(), *target);
         }
         const int runNumber = m_model.place(key, *target, m_now, run);
         m_result.placements.push_back({ key, runNumber, target->report.id, ticket, ticketValidUntil });
--- a/packages/jobs/src/wait_reason.cpp
+++ b/packages/jobs/src/wait_reason.cpp
@@ -49,7 +49,7 @@
     if (target.unansweredPolls > 0) {
         return wait_reason::workers_silent;
     }
-    return target.isSuspectedToFailRuns() ? wait_reason::workers_suspected_to_fail_runs : wait_reason::workers_avoided;
+    return target.isSuspectedToFailRuns() ? wait_reason::workers_failing_runs : wait_reason::workers_avoided;
 }
 
 // Examines the workers of a queue's pool for one waiting task.
@@ -76,7 +76,7 @@
     wait_reason reason()
     {
         if (m_workers.empty()) {
-            return wait_reason::pool_without_workers;
+            return wait_reason::no_worker_in_pool;
         }
         if (keepOnly([this](const worker &target) { return fitsWhenEmpty(target, m_step); }) == 0) {
             return reasonForNoFit();
--- a/packages/jobs/test/gang_test.cpp
+++ b/packages/jobs/test/gang_test.cpp
@@ -444,6 +444,34 @@
     }
 }
 
+Test(gang, runsOnOneRackAlthoughAFullWorkerComesBeforeThatRack)
+{
+    crowded_fixture fixture(9);
+    placed_run whole;
+    whole.need = { 4000, 8000, 0 };
+    fixture.model.workers().find("w4")->place({ "other", 0, 0, 0 }, whole);
+    step_spec step = crowded_fixture::gangOf(4);
+    step.sameRack = true;
+    fixture.submit("00000000000000a1", step);
+    fixture.schedule();
+    for (const auto &[id, target] : fixture.model.workers().all()) {
+        cr_assert_eq(target.runs.size(), target.rack() == "r0" || id == "w4" ? 1 : 0, "%s", id.c_str());
+    }
+}
+
+Test(gang, isNotPlacedInPartOnWorkersThatGetOneTaskAtATime)
+{
+    crowded_fixture fixture(2);
+    for (auto &[id, target] : fixture.model.workers().all()) {
+        target.failedTasks = { { "other", 0, 0, 0 }, { "another", 0, 0, 0 } };
+    }
+    step_spec step = crowded_fixture::gangOf(4);
+    step.taskResources = { 1000, 1000, 0 };
+    fixture.submit("00000000000000a1", step);
+    fixture.schedule();
+    cr_assert_eq(fixture.countAssigned("00000000000000a1"), 0);
+}
+
 ParameterizedTestParameters(gang, isPlacedAsAWholeOrNotAtAll)
 {
     return rowsOf(SEEDS);
--- a/packages/jobs/test/host_demand_test.cpp
+++ b/packages/jobs/test/host_demand_test.cpp
@@ -1,7 +1,6 @@
 #include <criterion/criterion.h>
 #include <jujubespool/jobs/pool_rebalancer.h>
 #include <jujubespool/jobs/run_scheduler.h>
-#include <jujubespool/testing/table.h>
 #include <random>
 
 namespace {
--- a/packages/jobs/test/known_queues_test.cpp
+++ b/packages/jobs/test/known_queues_test.cpp
@@ -1,6 +1,5 @@
 #include <criterion/criterion.h>
 #include <jujubespool/jobs/known_queues.h>
-#include <jujubespool/testing/table.h>
 
 namespace {
 
--- a/packages/jobs/test/run_supervisor_test.cpp
+++ b/packages/jobs/test/run_supervisor_test.cpp
@@ -1,7 +1,6 @@
 #include <criterion/criterion.h>
 #include <jujubespool/jobs/run_supervisor.h>
 #include <jujubespool/testing/table.h>
-#include <queue>
 
 namespace {
 
--- a/packages/jobs/test/wait_reason_test.cpp
+++ b/packages/jobs/test/wait_reason_test.cpp
@@ -159,7 +159,7 @@
           fleet.submit({ gangOf(2, { 1000, 1000, 0 }) });
           fleet.model.place({ JOB, 0, 0, 1 }, fleet.workerNamed("w1"), NOW);
       } },
-    { wait_reason::pool_without_workers,
+    { wait_reason::no_worker_in_pool,
       [](small_fleet &fleet) {
           fleet.config.queues[0].pool = "empty";
           fleet.configure();
@@ -202,7 +202,7 @@
           fleet.submit({ stepOf(1) });
           fleet.changeWorkers([](worker &target) { target.avoidUntil = NOW + seconds(1); });
       } },
-    { wait_reason::workers_suspected_to_fail_runs,
+    { wait_reason::workers_failing_runs,
       [](small_fleet &fleet) {
           fleet.submit({ stepOf(1) });
           fleet.changeWorkers([](worker &target) {
--- a/packages/manager/test/liveness_test.cpp
+++ b/packages/manager/test/liveness_test.cpp
@@ -1403,10 +1403,6 @@
       with({ shape::late_jobs, shape::labels, shape::data_racks, shape::worker_maximums, shape::best_effort, shape::two_pools, shape::teams,
              shape::long_running, shape::recurring, shape::oversized, shape::policies, shape::relays, shape::peers }),
       allFaults() },
-};
-
-// Families that do not pass yet; each is played only if it is named by JUJUBESPOOL_FAMILY.
-const family OPEN_FAMILIES[] = {
     { "late failures", with({ shape::late_jobs, shape::few_attempts, shape::sometimes_failing, shape::always_failing }), allFaults() },
     { "large policies", with({ shape::late_jobs, shape::policies, shape::long_running, shape::large_fleet }), {} },
     { "large gangs", with({ shape::late_jobs, shape::large_gangs }), {} },
@@ -1486,16 +1482,3 @@
         playSeeds(FAMILIES[*row]);
     }
 }
-
-ParameterizedTestParameters(liveness, jobsOfOpenFamiliesRunOrEnd)
-{
-    return rowsOf(OPEN_FAMILIES);
-}
-
-ParameterizedTest(std::size_t *row, liveness, jobsOfOpenFamiliesRunOrEnd)
-{
-    const char *only = std::getenv("JUJUBESPOOL_FAMILY");
-    if (only != nullptr && std::string(only) == OPEN_FAMILIES[*row].name) {
-        playSeeds(OPEN_FAMILIES[*row]);
-    }
-}
--- a/packages/manager/test/stop_sequence_test.cpp
+++ b/packages/manager/test/stop_sequence_test.cpp
@@ -1,6 +1,5 @@
 #include <criterion/criterion.h>
 #include <jujubespool/manager/stop_sequence.h>
-#include <jujubespool/testing/table.h>
 #include <vector>
 
 namespace {
