Blame workers only as long as nothing else explains the failures

A task is now taken for the cause only if nothing else fails on the second worker, and its next run prefers workers on which it has not failed. (The new test of two such workers passes without this, too: in it the first failures of many jobs are enough.) - A worker without successful runs, for example one with lasting tasks only, stayed suspected for good, so that a gang never fitted there. The blame ends after four seconds without a failure, and with a job that has failed as often as it may. - An answer to a repeated start stopped a run that a poll had listed meanwhile. - Waiting steps refilled the hosts that a pool gives away although workers that stay could hold them. Such a step now gets one only if no worker that stays could hold it beside its long-running tasks.

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -121,8 +121,8 @@
     // The task runs at full speed on a worker that answers polls.
     bool isAtFullSpeed(const task_key &key);
     void endJob(job &entry, job_state state, wall_ms wall);
-    // Blames the worker for a failed run, unless the task has failed on other workers as well. The task is the cause then, and no worker
-    // stays blamed for it. Returns true when the worker becomes suspected to fail all runs.
+    // Blames the worker for a failed run, unless nothing else fails there and the task has failed on other workers as well. The task is the
+    // cause then, and no worker stays blamed for it. Returns true when the worker becomes suspected to fail all runs.
     bool recordFailure(const task_key &key, worker &failed, instant now);
     // Completes the job if it has not ended and all its tasks are done.
     void completeIfDone(job &entry, wall_ms wall);
@@ -134,6 +134,8 @@
 private:
     void deactivate(const job &entry);
     void unplace(const task_key &key, const task_progress &task);
+    // A job that has failed as often as it may is taken for the cause.
+    void forgiveWorkersOf(const job &failedJob);
     // No worker counts the task among those that failed there any more.
     void forgiveWorkers(const task_progress &task, const task_key &key);
     // Sets the phase of a task whose run is gone.
--- a/packages/jobs/include/jujubespool/jobs/placement.h
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -26,13 +26,19 @@
     std::string avoidedWorker;
     // Additional condition that the worker must meet; empty for none.
     std::function<bool(const worker &)> isPermitted;
+    // Workers on which the task has failed, used only if no other worker fits; null for none.
+    const std::set<std::string> *failedOn = nullptr;
     // The task may run on a worker that leaves the pool if no other one can take it.
     bool mayUseLeavingWorkers = false;
 };
 
-// Whether a task of the step may run on a worker that leaves the pool: always if it lasts or starts together with others, otherwise while
-// no task of the step runs. A step that ends goes on with the other workers, since the pool could give no host away if it took all.
-bool mayUseLeavingWorkers(const step_spec &step, const std::vector<task_progress> &tasks);
+// Whether a task of the step may run on a worker that leaves the pool: always if it lasts or starts together with others, otherwise if no
+// task of the step runs and none of the workers that stay could hold one after its runs that end. The pool could give no host away if each
+// waiting step took it.
+bool mayUseLeavingWorkers(const step_spec &step, const std::vector<task_progress> &tasks, bool stayingWorkerCanHoldTask);
+
+// True when the worker stays in its pool and one task of the step would fit if only the long-running tasks ran there.
+bool canHoldBesideLongRunningTasks(const worker &target, const step_spec &step);
 
 // True when the worker is listed, ready and polled, and is neither avoided nor cordoned.
 bool acceptsNewTasks(const worker &target, instant now);
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -106,8 +106,9 @@
     bool leavingPool = false;
     // The host has to be emptied for maintenance at some time.
     bool dueForMaintenance = false;
-    // Tasks that have failed on this worker, and on no other one, since a run last completed successfully here.
+    // Tasks that have failed on this worker since a run last completed successfully here, without those whose failures have another cause.
     std::set<task_key> failedTasks;
+    instant lastFailureAt;
     // While the worker is suspected to fail all runs, it gets one new task at this time, to find out whether it works again.
     instant nextTrialAt;
 
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -267,8 +267,11 @@
 {
     task_progress &task = *find(key.job)->task(key);
     const bool wasSuspected = failed.isSuspectedToFailRuns();
+    const bool failedHereOnly = task.failedOn.empty() || task.failedOn == std::set<std::string>{ failed.report.id };
+    const bool worksOtherwise = failed.failedTasks.empty();
     task.failedOn.insert(failed.report.id);
-    if (task.failedOn.size() == 1) {
+    failed.lastFailureAt = now;
+    if (failedHereOnly || !worksOtherwise) {
         failed.failedTasks.insert(key);
     } else {
         forgiveWorkers(task, key);
@@ -287,6 +290,18 @@
     }
 }
 
+void fleet_model::forgiveWorkersOf(const job &failedJob)
+{
+    for (const auto &[number, occurrence] : failedJob.occurrences()) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                forgiveWorkers(occurrence.steps[step][index],
+                               { failedJob.request().id, number, static_cast<int>(step), static_cast<int>(index) });
+            }
+        }
+    }
+}
+
 void fleet_model::completeIfDone(job &entry, wall_ms wall)
 {
     const bool done = entry.markFinishedOccurrences();
@@ -298,6 +313,9 @@
 void fleet_model::endJob(job &entry, job_state state, wall_ms wall)
 {
     entry.setState(state, wall);
+    if (state == job_state::failed) {
+        forgiveWorkersOf(entry);
+    }
     deactivate(entry);
     m_ended.push_back(entry.request().id);
     markChanged(entry.request().id);
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -215,7 +215,7 @@
 bool host_maintenance_controller::hasAlternativeWorker(const worker &from, const task_key &key, instant now) const
 {
     const step_spec &step = m_model.find(key.job)->step(key.step);
-    const placement_request request{ key, &step, from.report.pool, {}, {}, {}, {}, false };
+    const placement_request request{ key, &step, from.report.pool, {}, {}, {}, {}, nullptr, false };
     const auto &workers = m_model.workers().all();
     return std::any_of(workers.begin(), workers.end(), [&](const auto &entry) {
         return entry.first != from.report.id && !entry.second.dueForMaintenance && isEligible(entry.second, request, now);
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -37,7 +37,8 @@
 preference preferenceFor(const worker &target, const placement_request &request)
 {
     const step_spec &step = *request.step;
-    const bool avoided = target.report.id == request.avoidedWorker;
+    const bool failedHere = request.failedOn != nullptr && request.failedOn->count(target.report.id) > 0;
+    const bool avoided = failedHere || target.report.id == request.avoidedWorker;
     const bool farFromData = !step.dataRack.empty() && target.rack() != step.dataRack;
     const std::int64_t freeCpuMillis = target.freeCapacity().cpuMillis;
     if (step.longRunning) {
@@ -60,12 +61,25 @@
         && target.mayGetTasks(now);
 }
 
-bool mayUseLeavingWorkers(const step_spec &step, const std::vector<task_progress> &tasks)
+bool canHoldBesideLongRunningTasks(const worker &target, const step_spec &step)
+{
+    resources needed = step.taskResources;
+    for (const auto &[key, run] : target.runs) {
+        if (run.longRunning) {
+            needed += run.need;
+            needed.cpuMillis -= run.bestEffort ? run.need.cpuMillis : 0;
+        }
+    }
+    needed.cpuMillis -= step.bestEffort ? step.taskResources.cpuMillis : 0;
+    return !target.leavingPool && fitsWhenEmpty(target, step) && needed.fitsIn(target.report.capacity);
+}
+
+bool mayUseLeavingWorkers(const step_spec &step, const std::vector<task_progress> &tasks, bool stayingWorkerCanHoldTask)
 {
     const auto isAssigned = [](const task_progress &task) {
         return task.phase == task_phase::assigned;
     };
-    return step.longRunning || step.gang || std::none_of(tasks.begin(), tasks.end(), isAssigned);
+    return step.longRunning || step.gang || (!stayingWorkerCanHoldTask && std::none_of(tasks.begin(), tasks.end(), isAssigned));
 }
 
 bool fitsWhenEmpty(const worker &target, const step_spec &step)
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds UNRESPONSIVE_POLL_INTERVAL{ 300 };
 // All attempts to start a run take less time than this.
 constexpr milliseconds MAX_UNCONFIRMED_TIME{ 2500 };
+// A worker is no longer blamed for failed runs if none has failed there for this long.
+constexpr milliseconds BLAME_DURATION{ 4000 };
 // Poll interval while this process may not act.
 constexpr milliseconds WITHHELD_POLL_INTERVAL{ 100 };
 // Best-effort runs are slowed down when the tail latency of a run on the same worker exceeds the first fraction of its target,
@@ -77,6 +79,9 @@
 void run_supervisor::tick(instant now)
 {
     for (auto &[id, target] : m_model.workers().all()) {
+        if (!target.failedTasks.empty() && now - target.lastFailureAt > BLAME_DURATION) {
+            target.failedTasks.clear();
+        }
         if (!target.pollInFlight && now >= target.nextPollAt && needsPoll(target)) {
             poll(target, now);
         }
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -86,6 +86,12 @@
         // Such workers are open to some steps only, so a task that may not use them says nothing about the others.
         bool hasLeavingWorkers = false;
 
+        bool canHoldOnStayingWorker(const step_spec &step) const
+        {
+            return std::any_of(workers.begin(), workers.end(),
+                               [&step](const worker *target) { return canHoldBesideLongRunningTasks(*target, step); });
+        }
+
         // All steps of a job get the same data centre unless a data centre is lost. The jobs are spread evenly.
         std::string preferredDataCenterOf(const std::string &job) const
         {
@@ -230,10 +236,14 @@
     placement_request requestFor(const job &current, const queue_config &queue, const task_key &key) const
     {
         const step_spec &step = current.step(key.step);
-        placement_request request{ key, &step, queue.pool, {}, {}, {}, {}, false };
+        placement_request request{ key, &step, queue.pool, {}, {}, {}, {}, nullptr, false };
         const auto &tasks = current.occurrences().at(key.occurrence).steps[static_cast<std::size_t>(key.step)];
         const task_progress &task = tasks[static_cast<std::size_t>(key.index)];
-        request.mayUseLeavingWorkers = mayUseLeavingWorkers(step, tasks);
+        request.failedOn = &task.failedOn;
+        const auto pool = m_pools.find(queue.pool);
+        if (pool != m_pools.end() && pool->second.hasLeavingWorkers) {
+            request.mayUseLeavingWorkers = mayUseLeavingWorkers(step, tasks, pool->second.canHoldOnStayingWorker(step));
+        }
         if (task.failures > 0 || step.longRunning) {
             request.avoidedWorker = task.worker;
         }
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -131,6 +131,12 @@
     if (run == nullptr || target->report.id != placed.worker) {
         return;
     }
+    const bool otherAnswerCounts = run->confirmed && result.status != order_status::accepted && result.status != order_status::fenced
+        && result.status != order_status::other_incarnation;
+    if (otherAnswerCounts) {
+        // A poll has listed the run since this order was sent.
+        return;
+    }
     if (result.status == order_status::unknown) {
         run->inDoubt = true;
         onStartUnanswered(attempt, now);
--- a/packages/jobs/src/wait_reason.cpp
+++ b/packages/jobs/src/wait_reason.cpp
@@ -110,7 +110,9 @@
     placement_request requestFor(const step_spec &step) const
     {
         const auto &tasks = m_job.occurrences().at(m_key.occurrence).steps[static_cast<std::size_t>(m_key.step)];
-        return { m_key, &step, m_queue.pool, {}, {}, {}, {}, mayUseLeavingWorkers(step, tasks) };
+        const bool canHold = std::any_of(m_workers.begin(), m_workers.end(),
+                                         [&step](const worker *target) { return canHoldBesideLongRunningTasks(*target, step); });
+        return { m_key, &step, m_queue.pool, {}, {}, {}, {}, nullptr, mayUseLeavingWorkers(step, tasks, canHold) };
     }
 
     bool hasTicket(const worker &target) const
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -434,6 +434,29 @@
     cr_assert_eq(fleet.platform.doneRuns(), 16, "%d", fleet.platform.doneRuns());
 }
 
+// The runs that fail on one of them run on the other one next.
+Test(ownership, jobsSucceedAlthoughTwoOfTheirWorkersFailAllRuns)
+{
+    fleet_fixture fleet;
+    for (const char *id : { "worker-03", "worker-004", "worker-0005", "worker-00006" }) {
+        fleet.platform.addWorker(id, "pool", WORKER_CAPACITY);
+    }
+    fleet.platform.workerNamed("w1").failsAllRuns = true;
+    fleet.platform.workerNamed("worker-2").failsAllRuns = true;
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    constexpr int JOBS = 24;
+    for (int i = 0; i < JOBS; ++i) {
+        cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + "00000000000" + std::to_string(10000 + i), "6"), 200);
+    }
+    fleet.platform.advance(seconds(4));
+    int completed = 0;
+    for (const auto &[id, entry] : fleet.sessions.at("entry-1")->manager()->model().jobs()) {
+        completed += entry.state() == job_state::completed ? 1 : 0;
+    }
+    cr_assert_eq(completed, JOBS, "%d of %d", completed, JOBS);
+}
+
 // Jobs that cannot succeed fail wherever they run, so they say nothing about the workers.
 Test(ownership, taskRunsSoonAlthoughSeveralJobsFailOnAllWorkersOfItsPool)
 {
