--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -13,8 +13,7 @@
 failed=0
 test_binaries=(core_test entry_test jobs_test manager_test)
 # The tests that KNOWN-RED.txt lists fail without any mutant, so they are passed over.
-mapfile -t known_red < <(sed -nE 's|^([a-z0-9_]+)::([A-Za-z0-9_]+)( .*)?$|\1/\2|p' KNOWN-RED.txt)
-without_known_red="!($(IFS='|'; echo "${known_red[*]:-none/none}"))"
+. scripts/known_red.sh
 # all_pass runs the test binaries until one fails.
 all_pass() {
     local binary
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -18,9 +18,7 @@
 if [ -n "$mutants" ]; then exec scripts/mutants.sh; fi
 passed=0
 failed=0
-# Unit tests that KNOWN-RED.txt lists as "suite::test", in the form of Criterion's filters.
-mapfile -t known_red < <(sed -nE 's|^([a-z0-9_]+)::([A-Za-z0-9_]+)( .*)?$|\1/\2|p' KNOWN-RED.txt)
-without_known_red="!($(IFS='|'; echo "${known_red[*]:-none/none}"))"
+. scripts/known_red.sh
 # run_tests BINARY FILTER prints the output of the tests that match the filter.
 run_tests() { "$1" --jobs "$(nproc)" --filter "$2" 2>&1 | sed 's/\x1b\[[0-9;]*m//g'; }
 for test in "${known_red[@]}"; do
