--- a/packages/manager/test/maintenance_test.cpp
+++ b/packages/manager/test/maintenance_test.cpp
@@ -89,6 +89,15 @@
         }
         return false;
     }
+    // Whether a wave completes within the time.
+    bool completesWithin(milliseconds time)
+    {
+        for (milliseconds elapsed(0); elapsed < time; elapsed += milliseconds(50)) {
+            m_platform.advance(milliseconds(50));
+            maintenanceController.tick(m_platform.now(), WALL);
+        }
+        return m_log.events["wave-completed"] > 0;
+    }
     instant now() const
     {
         return m_platform.now();
@@ -168,3 +177,11 @@
     cr_assert_not(fixture.evictsWithin(milliseconds(1800)));
     cr_assert(fixture.evictsWithin(milliseconds(400)));
 }
+
+// A host that is taken away for some seconds is not listed meanwhile, and still has to be maintained when it is back.
+Test(maintenance, waveIsNotCompletedWhileOneOfItsHostsIsUnlistedForAWhile)
+{
+    due_host_fixture fixture;
+    fixture.maintenanceController.setWave({ 2, { "host-away" }, seconds(30), 1 }, WALL);
+    cr_assert_not(fixture.completesWithin(seconds(6)));
+}
