--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -74,6 +74,11 @@
         self.servers = [await http_io.serve(self.store.handle, *self.split(self.store_address)),
                         await http_io.serve(self.cloud.handle, *self.split(self.cloud_address))]
         self.tasks.append(asyncio.create_task(self.store.expire_reports()))
+        self.manager_stores = []
+        for number in range(self.manager_count):
+            host = f"{self.network}.{200 + number}"
+            self.manager_stores.append(f"{host}:{free_port(host)}")
+            self.servers.append(await http_io.serve(self.store.handler_for(number), *self.split(self.manager_stores[number])))
         self.put_config(1)
         for number in range(workers):
             self.add_worker(number, capacity)
@@ -165,7 +170,7 @@
             "internal_port_range": [ports["peer"], ports["peer"]], "seeds": [], "bootstrap": True,
             "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
             "heartbeat_ms": HEARTBEAT_MS, "bounds": BOUNDS, "orders": "invoke", "advice": "",
-            "platform": {"address": self.store_address, "form": "log", "writes_per_s": 800, "reads_per_s": 2000,
+            "platform": {"address": self.manager_stores[number], "form": "log", "writes_per_s": 800, "reads_per_s": 2000,
                          "record_bytes": platform_standin.RECORD_BYTES, "request_bytes": platform_standin.REQUEST_BYTES},
             "cloud": {"address": self.cloud_address, "rate_per_s": 64.0, "duties": [], "duty_per_s": 64.0}}
         path = os.path.join(self.temporary.name, f"manager-{number}.json")
@@ -179,6 +184,16 @@
         self.processes.append(manager["process"])
         self.record("manager-started", number=number, pid=manager["process"].pid)
 
+    def kill_manager(self, number):
+        process = self.managers[number]["process"]
+        process.kill()
+        process.wait()
+        self.record("manager-killed", number=number)
+
+    def owner(self):
+        """The manager that has written to the ledger last."""
+        return self.store.last_ledger_writer
+
     async def wait_until_serving(self):
         for _ in range(100):
             await asyncio.sleep(0.1)
--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -33,6 +33,9 @@
         self.reported_at = {}
         self.refused = []
         self.cut_off = set()
+        # (topic, key) of a write that gets no answer and is carried out this many seconds later.
+        self.late_writes = {}
+        self.last_ledger_writer = None
 
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
@@ -48,7 +51,11 @@
         topic.changed.set()
         topic.changed = asyncio.Event()
 
-    def handle(self, method, path, _, body):
+    def handler_for(self, caller):
+        """Returns the handler of an address that only this caller uses, so that the last writer of the ledger is known."""
+        return lambda method, path, headers, body: self.handle(method, path, headers, body, caller)
+
+    def handle(self, method, path, _, body, caller=None):
         if path.startswith("/standin/servers/"):
             return self.put_report(path.rpartition("/")[2], body)
         if self.silent:
@@ -56,6 +63,13 @@
         parsed = urllib.parse.urlsplit(path)
         query = dict(urllib.parse.parse_qsl(parsed.query))
         if parsed.path == "/-/log-append":
+            if "producer" in query:
+                self.last_ledger_writer = caller
+            for (topic, key), delay_s in list(self.late_writes.items()):
+                if query["topic"] == topic and bytes([len(key)]) + key.encode() in body:
+                    del self.late_writes[topic, key]
+                    asyncio.get_running_loop().call_later(delay_s, self.append, query, body)
+                    return None
             return self.append_later(query, body)
         if parsed.path == "/-/log-read":
             return self.read(query)
