--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,4 +1,4 @@
-"""A client hands in a large job: one task, then 13 steps of 10,000 small tasks each."""
+"""Workers crash, start again under the ids that they had, and get tasks before the managers know of the restart."""
 import asyncio
 import os
 import sys
@@ -9,73 +9,57 @@
 import harness  # noqa: E402
 
 CAPACITY = (64000, 131072)
-WORKERS = 11
-SMALL_TASK = {"cpu": 3500, "mem_mb": 5100}
-SMALL_TASKS = 6
-SMALL_TASK_MS = 800
+WORKERS = 7
+TASK = {"cpu": 23000, "mem_mb": 14000}
+TASK_MS = 1300
 SUBMIT_GAP_S = 0.25
-LARGE_TASK = {"cpu": 60, "mem_mb": 100}
-LARGE_TASKS = 10000
-LARGE_STEPS = 13
-LARGE_TASK_MS = 1000
-LARGE_AT_S = 10.0
-TRAFFIC_S = 20.0
-FINISH_S = 14.0
-# A job whose tasks' turn has come must not have nothing running for this long while there is room.
-IDLE_S = 3.0
-# Jobs are asked for at the end, several times in this time.
-ASK_FOR_S = 5.0
+LENGTH_S = 80.0
+# One of seven workers at a time.
+CRASH_GAP_S = 1.0
+MIN_DOWN_S = 0.3
+MAX_DOWN_S = 1.2
 
 
-def has_run_since(events, job, since):
-    return any(run["task"].startswith(job + ".") and (run["end"] is None or run["end"] >= since) for run in harness.runs_of(events))
-
-
-async def small_traffic(deployment, end, results):
+async def crash_workers(deployment, end):
     while time.monotonic() < end:
-        steps = [{"count": SMALL_TASKS, **SMALL_TASK, "estimated_ms": SMALL_TASK_MS}]
-        results.append(asyncio.create_task(deployment.submit(f"ms={SMALL_TASK_MS}", steps)))
-        await asyncio.sleep(SUBMIT_GAP_S)
-
-
-async def large_job(deployment, results):
-    await asyncio.sleep(LARGE_AT_S)
-    task = {**LARGE_TASK, "estimated_ms": LARGE_TASK_MS}
-    steps = [{"count": 1, **task}] + [{"count": LARGE_TASKS, **task, "after": [number]} for number in range(LARGE_STEPS)]
-    results.append(asyncio.create_task(deployment.submit(f"ms={LARGE_TASK_MS}", steps)))
+        await asyncio.sleep(CRASH_GAP_S)
+        busy = {run["worker"] for run in harness.runs_of(deployment.events) if run["end"] is None}
+        idle = sorted(set(deployment.workers) - busy)
+        if not idle:
+            continue
+        name = idle[0]
+        deployment.kill_worker(name)
+        await asyncio.sleep(deployment.random.uniform(MIN_DOWN_S, MAX_DOWN_S))
+        deployment.record("worker-started", worker=name)
+        deployment.start_worker(name)
 
 
 async def case(trouble):
     deployment = harness.Deployment(FOLDER)
-    deployment.needs = {"*": (LARGE_TASK["cpu"], LARGE_TASK["mem_mb"])}
+    deployment.needs = {"*": (TASK["cpu"], TASK["mem_mb"])}
     try:
         await deployment.start(workers=WORKERS, capacity=CAPACITY)
         await asyncio.sleep(3.0)
-        end = time.monotonic() + TRAFFIC_S
-        small, large = [], []
-        traffic = [small_traffic(deployment, end, small)] + ([large_job(deployment, large)] if trouble else [])
-        await asyncio.gather(*traffic)
-        deployment.record("traffic-ended")
-        answers = await asyncio.gather(*small, *large)
-        jobs = [job for job, accepted in answers if accepted]
-        refused = len(answers) - len(jobs)
-        await asyncio.sleep(max(0.0, end + FINISH_S - ASK_FOR_S - time.monotonic()))
-        asked_since = time.monotonic()
-        unfinished = dict.fromkeys(jobs)
-        while time.monotonic() < asked_since + ASK_FOR_S + IDLE_S:
-            states = await asyncio.gather(*(deployment.state(job) for job in unfinished))
-            unfinished = {job: state for job, state in zip(unfinished, states) if state[1] != "completed"}
-            await asyncio.sleep(1.0)
+        begun = time.monotonic()
+        crashes = asyncio.create_task(crash_workers(deployment, begun + LENGTH_S - 5)) if trouble else None
+        submits = []
+        while time.monotonic() < begun + LENGTH_S - 5:
+            steps = [{"count": 2, **TASK, "estimated_ms": TASK_MS}]
+            submits.append(asyncio.create_task(deployment.submit(f"ms={TASK_MS}", steps)))
+            await asyncio.sleep(SUBMIT_GAP_S)
+        accepted = sum(accepted for _, accepted in await asyncio.gather(*submits))
+        if crashes is not None:
+            await crashes
+        await asyncio.sleep(max(0.0, begun + LENGTH_S - time.monotonic()))
         await deployment.drain_events()
-        since = end + FINISH_S
-        used = sum(1 for run in harness.runs_of(deployment.events) if run["end"] is None or run["end"] >= since)
-        lost = [job for job in unfinished if not has_run_since(deployment.events, job, since)]
-        for job in lost:
-            deployment.record("LOST", job=job, status=unfinished[job][0], shown=unfinished[job][1], runs_of_all_jobs=used)
-        sizes = [size for _, size in deployment.store.refused]
-        print(f"accepted={len(jobs)} not_accepted={refused} unfinished={len(unfinished)} lost={len(lost)} runs_at_the_end={used} "
-              f"appends_refused_for_size={len(sizes)} largest_record={max(sizes, default=0)}")
-        return bool(lost)
+        found = harness.twice(deployment.events)
+        runs = harness.runs_of(deployment.events)
+        for how, first, second in found:
+            together = max(0, min(first["end"] or time.monotonic(), second["end"] or time.monotonic()) - second["start"])
+            deployment.record("TWICE", how=how.replace(" ", "-"), task=first["task"], first_run=first["run"], first_worker=first["worker"],
+                              second_run=second["run"], second_worker=second["worker"], ms_at_once=round(1000 * together))
+        print(f"jobs={accepted} of {len(submits)} runs={len(runs)} done={sum(run['how'] == 'done' for run in runs)} twice={len(found)}")
+        return bool(found)
     finally:
         deployment.close()
 
