--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,5 +1,6 @@
-"""A client hands in a large job: one task, then 13 steps of 10,000 small tasks each."""
+"""A worker refuses starts while the service is full, and waiting jobs vanish from the count of pending ones."""
 import asyncio
+import json
 import os
 import sys
 import time
@@ -7,75 +8,73 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
 import harness  # noqa: E402
+import http_io  # noqa: E402
 
 CAPACITY = (64000, 131072)
-WORKERS = 11
-SMALL_TASK = {"cpu": 3500, "mem_mb": 5100}
-SMALL_TASKS = 6
-SMALL_TASK_MS = 800
-SUBMIT_GAP_S = 0.25
-LARGE_TASK = {"cpu": 60, "mem_mb": 100}
-LARGE_TASKS = 10000
-LARGE_STEPS = 13
-LARGE_TASK_MS = 1000
-LARGE_AT_S = 10.0
-TRAFFIC_S = 20.0
-FINISH_S = 14.0
-# A job whose tasks' turn has come must not have nothing running for this long while there is room.
-IDLE_S = 3.0
-# Jobs are asked for at the end, several times in this time.
-ASK_FOR_S = 5.0
+WORKERS = 7
+TASK = {"cpu": 3500, "mem_mb": 5100}
+TASKS_PER_JOB = 6
+TASK_MS = 9000
+# Three jobs fill one worker.
+JOBS = 22
+REFUSES_S = 6.5
+# A job that was accepted longer ago than this (visible_ms and 2 s) and hasn't begun has to be among the pending ones.
+OWED_AFTER_S = 5.0
+ASK_GAP_S = 0.1
+ASK_UNTIL_S = 8.5
 
 
-def has_run_since(events, job, since):
-    return any(run["task"].startswith(job + ".") and (run["end"] is None or run["end"] >= since) for run in harness.runs_of(events))
+async def refuse_starts(deployment, worker, refuses):
+    deployment.record("worker-refuses-starts" if refuses else "worker-takes-starts", worker=worker)
+    await http_io.call(deployment.workers[worker]["address"], "POST", "/standin/refuse-starts", body=b"yes" if refuses else b"no")
 
 
-async def small_traffic(deployment, end, results):
-    while time.monotonic() < end:
-        steps = [{"count": SMALL_TASKS, **SMALL_TASK, "estimated_ms": SMALL_TASK_MS}]
-        results.append(asyncio.create_task(deployment.submit(f"ms={SMALL_TASK_MS}", steps)))
-        await asyncio.sleep(SUBMIT_GAP_S)
+async def hand_in(deployment, accepted_at):
+    steps = [{"count": TASKS_PER_JOB, **TASK, "estimated_ms": TASK_MS}]
+    job, accepted = await deployment.submit(f"ms={TASK_MS}", steps)
+    if accepted:
+        accepted_at[job] = time.monotonic()
 
 
-async def large_job(deployment, results):
-    await asyncio.sleep(LARGE_AT_S)
-    task = {**LARGE_TASK, "estimated_ms": LARGE_TASK_MS}
-    steps = [{"count": 1, **task}] + [{"count": LARGE_TASKS, **task, "after": [number]} for number in range(LARGE_STEPS)]
-    results.append(asyncio.create_task(deployment.submit(f"ms={LARGE_TASK_MS}", steps)))
+def jobs_owed(deployment, accepted_at, now):
+    """The jobs that the count must hold: accepted long enough ago, and no task of theirs has begun until now."""
+    begun = {run["task"].partition(".")[0] for run in harness.runs_of(deployment.events)}
+    return [job for job, at in accepted_at.items() if now - at > OWED_AFTER_S and job not in begun]
 
 
 async def case(trouble):
     deployment = harness.Deployment(FOLDER)
-    deployment.needs = {"*": (LARGE_TASK["cpu"], LARGE_TASK["mem_mb"])}
+    deployment.needs = {"*": (TASK["cpu"], TASK["mem_mb"])}
+    wrong = asked = 0
     try:
         await deployment.start(workers=WORKERS, capacity=CAPACITY)
         await asyncio.sleep(3.0)
-        end = time.monotonic() + TRAFFIC_S
-        small, large = [], []
-        traffic = [small_traffic(deployment, end, small)] + ([large_job(deployment, large)] if trouble else [])
-        await asyncio.gather(*traffic)
-        deployment.record("traffic-ended")
-        answers = await asyncio.gather(*small, *large)
-        jobs = [job for job, accepted in answers if accepted]
-        refused = len(answers) - len(jobs)
-        await asyncio.sleep(max(0.0, end + FINISH_S - ASK_FOR_S - time.monotonic()))
-        asked_since = time.monotonic()
-        unfinished = dict.fromkeys(jobs)
-        while time.monotonic() < asked_since + ASK_FOR_S + IDLE_S:
-            states = await asyncio.gather(*(deployment.state(job) for job in unfinished))
-            unfinished = {job: state for job, state in zip(unfinished, states) if state[1] != "completed"}
-            await asyncio.sleep(1.0)
-        await deployment.drain_events()
-        since = end + FINISH_S
-        used = sum(1 for run in harness.runs_of(deployment.events) if run["end"] is None or run["end"] >= since)
-        lost = [job for job in unfinished if not has_run_since(deployment.events, job, since)]
-        for job in lost:
-            deployment.record("LOST", job=job, status=unfinished[job][0], shown=unfinished[job][1], runs_of_all_jobs=used)
-        sizes = [size for _, size in deployment.store.refused]
-        print(f"accepted={len(jobs)} not_accepted={refused} unfinished={len(unfinished)} lost={len(lost)} runs_at_the_end={used} "
-              f"appends_refused_for_size={len(sizes)} largest_record={max(sizes, default=0)}")
-        return bool(lost)
+        begun = time.monotonic()
+        worker = sorted(deployment.workers)[0]
+        if trouble:
+            await refuse_starts(deployment, worker, True)
+            asyncio.get_running_loop().call_later(REFUSES_S, asyncio.ensure_future, refuse_starts(deployment, worker, False))
+        accepted_at = {}
+        await asyncio.gather(*(hand_in(deployment, accepted_at) for _ in range(JOBS)))
+        if len(accepted_at) < JOBS:
+            raise harness.CannotRun(f"only {len(accepted_at)} of {JOBS} jobs were accepted")
+        while time.monotonic() < begun + ASK_UNTIL_S:
+            await asyncio.sleep(ASK_GAP_S)
+            for manager in range(deployment.manager_count):
+                owed_before = set(jobs_owed(deployment, accepted_at, time.monotonic()))
+                status, body = await deployment.send("GET", "/desk/", manager=manager)
+                await asyncio.sleep(0.02)
+                # Jobs that begin while the call is on its way don't count.
+                owed = len(owed_before & set(jobs_owed(deployment, accepted_at, time.monotonic())))
+                if status != 200 or not owed:
+                    continue
+                asked += 1
+                pending = json.loads(body)["pending"]
+                is_wrong = 2 * pending < owed
+                wrong += is_wrong
+                deployment.record("MIXED" if is_wrong else "pending", manager=manager, pending=pending, not_begun=owed)
+        print(f"jobs={len(accepted_at)} asked={asked} wrong={wrong}")
+        return wrong > 0
     finally:
         deployment.close()
 
