--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -6,7 +6,6 @@
 import json
 import os
 import random
-import signal
 import socket
 import subprocess
 import sys
@@ -237,9 +236,10 @@
     def close(self):
         for process in self.processes:
             if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
+            if process.stdout is not None:
+                asyncio.get_running_loop().remove_reader(process.stdout.fileno())
         for task in self.tasks:
             task.cancel()
         for server in self.servers:
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -29,6 +29,8 @@
         self.highest_ended = {}
         self.changed = asyncio.Event()
         self.seq = 0
+        # While set, starts are answered with 503, as by an unhealthy worker, which then does nothing.
+        self.refuses_starts = False
 
     def clock_ms(self):
         return int((time.monotonic() - self.started_at) * 1000)
@@ -43,6 +45,9 @@
     def handle(self, method, path, headers, body):
         if method == "GET":
             return (200, b"{}") if path == "/health" else (404, b"{}")
+        if path == "/standin/refuse-starts":
+            self.refuses_starts = body == b"yes"
+            return 200, b"{}"
         if headers.get("x-jujubespool-expect-instance", self.id) != self.id:
             return self.answer(421)
         order = json.loads(body)
@@ -51,7 +56,7 @@
             return self.answer(409, reason="fence")
         self.token = token
         if path == "/-/run-start":
-            return self.start(order)
+            return (503, b"{}") if self.refuses_starts else self.start(order)
         if path == "/-/run-stop":
             return self.stop(order)
         if path == "/-/hold":
