Keep the registration of a process in the list of members, and ignore those of earlier starts

Cause: a process wrote its entry once and never looked at it again, and peer_tracker let the entry of an earlier start replace the present one, so that the owner was refused as unknown although its heartbeats arrived. Ruled out: the election (one owner, heartbeats known), the store (a write without an answer may be carried out late). Change: member_registration writes the entry again whenever something else stands there, with a number above that of every start seen, so that a clock that goes back doesn't matter; peer_tracker ignores lower numbers; a process that can't reach the owner isn't ready. The fake store carries puts out late, loses their answers and is down for them.

--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -9,6 +9,7 @@
 #include <jujubespool/jobs/owner_election.h>
 #include <jujubespool/manager/call_router.h>
 #include <jujubespool/manager/event_logger.h>
+#include <jujubespool/manager/member_registration.h>
 #include <jujubespool/manager/order_relay.h>
 #include <jujubespool/manager/owner_record_reader.h>
 #include <jujubespool/manager/owner_session.h>
@@ -51,8 +52,9 @@
     void onPeerMessage(const wire::peer_message &message) override;
     void onHeartbeat(std::uint64_t from, const wire::member_beat &heartbeat, instant now);
     bool listen(failure &reason);
-    // Writes the entry of this process into the members feed; retries until it is written.
-    void registerMember();
+    // The entry of this process in the list of members, without the number of its start.
+    wire::member_image memberImage() const;
+    void onMemberEntry(const ledger_entry &entry, instant now);
     void tick();
     void sendHeartbeat(instant now);
     void sendOwnerHeartbeat(instant now);
@@ -61,7 +63,7 @@
     void updateRelayHelpers(instant now);
     void runElection(instant now);
     // Whether callers can be served here: this process owns the jobs and its store responds, or it receives heartbeats
-    // from the owner.
+    // from the owner and can send to it.
     bool canServe(instant now) const;
     void readLedgerEnd();
     // Position of this process among those that may claim now.
@@ -96,6 +98,7 @@
     owner_record_reader m_ownerRecordReader;
     // Epoch of the owner when the ledger was last read; empty after a heartbeat of an owner whose store responds.
     std::optional<std::uint64_t> m_ownerEpochRead;
+    member_registration m_registration;
     feed_watcher m_memberWatcher;
     http_listener m_callerListener;
     http_listener m_readinessListener;
--- a/packages/manager/include/jujubespool/manager/peer_tracker.h
+++ b/packages/manager/include/jujubespool/manager/peer_tracker.h
@@ -32,7 +32,7 @@
 public:
     peer_tracker(peer_transport &link, std::uint64_t self, event_log &log);
 
-    // Adds a process, or replaces it if it was restarted under the same node name.
+    // Adds a process, or replaces it if it was restarted under the same node name. An earlier start never replaces a later one.
     void updateMember(const std::string &node, const wire::member_image &image, instant now);
     void removeMember(const std::string &node);
     // False if the message was sent to a former process at this address, whose numbers of calls and orders mean nothing here.
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -15,7 +15,6 @@
 constexpr milliseconds OWNER_HEARTBEAT_INTERVAL_TO_OTHERS{ 200 };
 constexpr milliseconds MEMBER_HEARTBEAT_INTERVAL{ 500 };
 constexpr poll_timing MEMBERS_POLL_TIMING{ milliseconds(10000), milliseconds(0) };
-constexpr milliseconds REGISTRATION_RETRY_DELAY{ 300 };
 // A process that cannot serve for this long reports that it is not ready, so that callers use another process. A change
 // of owner takes less time.
 constexpr milliseconds NOT_SERVING_BEFORE_UNREADY{ 700 };
@@ -58,6 +57,8 @@
     , m_relayExecutor(clients.workers, m_timers, log,
                       [this](std::uint64_t to, wire::peer_message message, instant now) { m_peers.send(to, std::move(message), now); })
     , m_ownerRecordReader(clients.feeds)
+    , m_registration(
+          clients.feeds, m_timers, memberImage(), [this] { return m_loop.wallNow(); }, log)
     , m_memberWatcher(clients.feeds, m_timers, feed::members, MEMBERS_POLL_TIMING, log)
     , m_callerListener(loop.base())
     , m_readinessListener(loop.base())
@@ -76,17 +77,8 @@
         return false;
     }
     m_startedAt = m_loop.now();
-    registerMember();
-    m_memberWatcher.start(
-        [this](const ledger_entry &entry, instant now) {
-            wire::member_image image;
-            if (entry.value && image.ParseFromString(*entry.value)) {
-                m_peers.updateMember(entry.key, image, now);
-            } else if (!entry.value) {
-                m_peers.removeMember(entry.key);
-            }
-        },
-        [](instant) {});
+    m_memberWatcher.start([this](const ledger_entry &entry, instant now) { onMemberEntry(entry, now); },
+                          [this](instant now) { m_registration.onCaughtUp(now); });
     m_loop.repeat(TICK_INTERVAL, [this] { tick(); });
     m_log.write("started",
                 { { "node", m_settings.node },
@@ -119,22 +111,30 @@
         && (m_settings.metricsPort == 0 || m_metricsListener.listen(metricsAddress, serveMetrics, reason));
 }
 
-void manager_process::registerMember()
+wire::member_image manager_process::memberImage() const
 {
     wire::member_image image;
     image.set_node(m_settings.node);
     image.set_incarnation(m_identity.incarnation);
     image.set_endpoint(fmt::format("tcp://{}:{}", m_settings.ip, m_settings.peerPort));
-    image.set_started_ms(m_loop.wallNow());
     image.set_cpu_share_percent(m_settings.cpuSharePercent);
     image.set_link_mbps(m_settings.linkMbps);
     image.set_data_center(m_settings.dataCenter);
-    const ledger_entry entry{ m_settings.node, image.SerializeAsString() };
-    m_clients.feeds.put(feed::members, entry, m_lifetime.guard([this](const ledger_append_result &outcome, instant) {
-        if (outcome.status != append_status::done) {
-            m_timers.after(REGISTRATION_RETRY_DELAY, m_lifetime.guard([this](instant) { registerMember(); }));
-        }
-    }));
+    return image;
+}
+
+void manager_process::onMemberEntry(const ledger_entry &entry, instant now)
+{
+    wire::member_image image;
+    const bool readable = entry.value && image.ParseFromString(*entry.value);
+    if (entry.key == m_settings.node) {
+        m_registration.onEntry(readable ? std::optional(image) : std::nullopt);
+    }
+    if (readable) {
+        m_peers.updateMember(entry.key, image, now);
+    } else if (!entry.value) {
+        m_peers.removeMember(entry.key);
+    }
 }
 
 void manager_process::tick()
@@ -360,7 +360,11 @@
 
 bool manager_process::canServe(instant now) const
 {
-    return owns() ? m_session->storeUnresponsiveFor(now) < OWNER_STORE_TIMEOUT : m_election.receivesHeartbeats(now);
+    if (owns()) {
+        return m_session->storeUnresponsiveFor(now) < OWNER_STORE_TIMEOUT;
+    }
+    // Heartbeats may arrive from an owner whose address is not known, to which no call can be passed on.
+    return m_election.receivesHeartbeats(now) && m_peers.isMember(m_knownOwner);
 }
 
 void manager_process::readLedgerEnd()
@@ -442,6 +446,7 @@
     const instant now = m_loop.now();
     m_log.write("stopping", { { "owns", owns() ? "yes" : "no" } });
     m_stopping = true;
+    m_registration.stop();
     m_stop.emplace(now);
     if (!owns()) {
         sendMemberHeartbeat(now);
--- a/packages/manager/src/peer_tracker.cpp
+++ b/packages/manager/src/peer_tracker.cpp
@@ -32,7 +32,16 @@
 void peer_tracker::updateMember(const std::string &node, const wire::member_image &image, instant now)
 {
     const auto found = m_members.find(node);
+    if (found != m_members.end() && found->second.image.started_ms() > image.started_ms()) {
+        // A registration that the store has carried out late. The process that it names has ended.
+        m_log.write("member-outdated",
+                    { { "node", node },
+                      { "incarnation", std::to_string(image.incarnation()) },
+                      { "known", std::to_string(found->second.image.incarnation()) } });
+        return;
+    }
     if (found != m_members.end() && found->second.image.incarnation() == image.incarnation()) {
+        found->second.image.set_started_ms(image.started_ms());
         return;
     }
     removeMember(node);
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -52,6 +52,11 @@
             answer(CALL_TIMEOUT, ledger_append_result{ append_status::unknown, 0, {} }, done);
             return;
         }
+        if (links.lateWrites.count() > 0) {
+            platform.after(links.lateWrites, [&store = platform, call](instant) { store.append(call); });
+            answer(CALL_TIMEOUT, ledger_append_result{ append_status::unknown, 0, {} }, done);
+            return;
+        }
         platform.after(LATENCY + links.storeDelay, [this, call, done](instant) {
             const ledger_append_result outcome = platform.append(call);
             ++links.appends;
@@ -77,8 +82,18 @@
     }
     void put(feed which, const ledger_entry &entry, std::function<void(const ledger_append_result &, instant now)> done) override
     {
-        platform.m_feeds[which].push_back({ entry.key, entry.value });
-        answer(LATENCY, ledger_append_result{ append_status::done, 0, {} }, done);
+        const bool late = links.lateWrites.count() > 0;
+        const auto carryOut = [&store = platform, which, entry](instant) {
+            store.m_feeds[which].push_back({ entry.key, entry.value });
+        };
+        if (!links.storeDown) {
+            platform.after(late ? links.lateWrites : LATENCY + links.storeDelay, carryOut);
+        }
+        if (late || links.storeDown || links.storeResponsesLost) {
+            answer(CALL_TIMEOUT, ledger_append_result{ append_status::unknown, 0, {} }, done);
+        } else {
+            answer(LATENCY + links.storeDelay + LATENCY, ledger_append_result{ append_status::done, 0, {} }, done);
+        }
     }
 
     // worker_gateway
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -26,6 +26,8 @@
     std::set<std::string> unreachableWorkers;
     // Workers execute start orders after this delay and do not respond to them.
     milliseconds startDelay{ 0 };
+    // The store carries writes out this long after they arrived, if their condition still holds, and does not answer them.
+    milliseconds lateWrites{ 0 };
     // Number of appends executed by the store.
     int appends = 0;
     // Additional time that each call to the store takes.
--- a/packages/manager/test/peer_tracker_test.cpp
+++ b/packages/manager/test/peer_tracker_test.cpp
@@ -39,6 +39,26 @@
     cr_assert_eq(fixture.peers.rank(START).value(), 1);
 }
 
+// Guards against LOST of review/2: the owner was replaced by its own former start, and no call could be passed on to it any more.
+Test(peer_tracker, registrationOfAFormerStartNeverReplacesALaterOne)
+{
+    tracker_fixture fixture;
+    wire::member_image image;
+    image.set_incarnation(22);
+    image.set_started_ms(2000);
+    fixture.peers.updateMember("node-2", image, START);
+    image.set_incarnation(21);
+    image.set_started_ms(1000);
+    fixture.peers.updateMember("node-2", image, START);
+    cr_assert(fixture.peers.send(22, wire::peer_message(), START));
+    cr_assert_not(fixture.peers.isMember(21));
+    image.set_incarnation(23);
+    image.set_started_ms(3000);
+    fixture.peers.updateMember("node-2", image, START);
+    cr_assert(fixture.peers.isMember(23));
+    cr_assert_not(fixture.peers.isMember(22));
+}
+
 Test(peer_tracker, ranksHostsByCpuThenNetwork)
 {
     tracker_fixture fixture;
