Take no run for gone because an answer doesn't list all ends

Cause: a worker lists 500 ends in an answer, and reconcileRuns took runs whose ends were further back for gone. Ruled out: the store, which may be down, and the leases, which were renewed.

--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -222,7 +222,7 @@
     std::vector<task_key> gone;
     for (const auto &[key, run] : target.runs) {
         const bool provenGone = (run.confirmed && run.confirmedAt < sentAt) || stopConfirmedBefore(target, key, run.run, sentAt);
-        if (provenGone && !listed.contains(key, run.run)) {
+        if (provenGone && result.complete && !listed.contains(key, run.run)) {
             gone.push_back(key);
         }
     }
--- a/packages/manager/test/liveness_test.cpp
+++ b/packages/manager/test/liveness_test.cpp
@@ -1449,6 +1449,9 @@
       with({ shape::late_jobs, shape::peers }),
       { fault::worker_restarted, fault::worker_restarted_unseen, fault::starts_late, fault::start_responses_lost,
         fault::stop_responses_lost, fault::worker_unreachable, fault::owner_killed, fault::handed_over } },
+    { "more ends than one answer lists",
+      with({ shape::many_small_tasks }),
+      { fault::store_down, fault::owner_cut_from_store, fault::store_responses_lost, fault::writes_late, fault::worker_restarted } },
     { "removed queue", PLAIN, { fault::queue_removed, fault::owner_killed, fault::handed_over } },
 };
 
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -343,6 +343,30 @@
     playIdleRestart(UNSEEN_RESTARTS[*row]);
 }
 
+// Guards against TWICE of review/1: a worker lists 500 ends in an answer, and runs whose ends were further back were taken for gone.
+Test(ownership, tasksWhoseEndsOneAnswerDoesNotListRunOnce)
+{
+    constexpr int TASKS = 1700;
+    fleet_fixture fleet;
+    fleet.platform.unlistWorker("w1");
+    fleet.platform.unlistWorker("worker-2");
+    fleet.platform.addWorker("w3", "pool", { TASKS * 1000, TASKS * 1000, 0 });
+    fleet.platform.runTime = [](const task_key &) {
+        return milliseconds(900);
+    };
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, std::to_string(TASKS)), 200);
+    fleet.platform.advance(milliseconds(300));
+    // The ends cannot be recorded, so they pile up on the worker.
+    fleet.platform.linksOf("entry-1").storeDown = true;
+    fleet.platform.after(seconds(3), [&fleet](instant) { fleet.platform.linksOf("entry-1").storeDown = false; });
+    fleet.platform.advance(seconds(20));
+    cr_assert(fleet.platform.violations().empty(), "%s", fleet.platform.violations().empty() ? "" : fleet.platform.violations()[0].c_str());
+    cr_assert_eq(fleet.platform.doneRuns(), TASKS, "%d", fleet.platform.doneRuns());
+    cr_assert_eq(fleet.call("entry-1", "GET", QUEUE_PATH + FIRST_JOB), 200);
+}
+
 // A former owner that is partitioned from the store may still reach a worker that its successor cannot reach. The successor
 // must not start that worker's tasks elsewhere while they still run.
 Test(ownership, taskDoesNotRunTwiceWhenFormerOwnerAndWorkerArePartitioned)
