Count a job as begun only when a worker has a run of it

Cause: job::hasStarted went by the number of the last run, which is given with the order and stays when the start is refused. Change: a job records that a worker has accepted or listed a run; traces of runs (ends, checkpoints) count too.

--- a/packages/entry/src/admin_http_server.cpp
+++ b/packages/entry/src/admin_http_server.cpp
@@ -7,8 +7,8 @@
 #include <fmt/format.h>
 #include <jujubespool/core/edition.h>
 #include <jujubespool/entry/logger.h>
-#include <netinet/in.h>
 #include <jujubespool/platform/json_text.h>
+#include <netinet/in.h>
 
 namespace jujubespool {
 
--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -243,7 +243,12 @@
     void markDone(const task_key &key);
     // Marks each occurrence as ended whose tasks are all done and have left their workers. Returns true when the whole job is done.
     bool markFinishedOccurrences();
-    // True when at least one task has had a run.
+    // A worker has a run of one of the tasks.
+    void recordStart()
+    {
+        m_started = true;
+    }
+    // True when at least one task has had a run. After a change of owner, a run that left no trace in the job doesn't count.
     bool hasStarted() const;
     // True when at least one task is assigned to a worker.
     bool hasAssigned() const;
@@ -272,6 +277,8 @@
     job_state m_state = job_state::queued;
     wall_ms m_acceptedAt = 0;
     wall_ms m_endedAt = 0;
+    // Not part of the image.
+    bool m_started = false;
     std::map<int, occurrence_progress> m_occurrences;
     std::vector<milliseconds> m_criticalPaths;
     mutable std::optional<job_demand> m_demand;
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -394,8 +394,10 @@
     const auto hasEnded = [](const auto &entry) {
         return entry.second.ended;
     };
-    return std::any_of(m_occurrences.begin(), m_occurrences.end(), hasEnded)
-        || anyTask([](const task_progress &task) { return task.run > 0; });
+    // The number of the last run says nothing, because it is given when the start is ordered, and the worker may refuse it.
+    return m_started || std::any_of(m_occurrences.begin(), m_occurrences.end(), hasEnded) || anyTask([](const task_progress &task) {
+               return task.phase == task_phase::done || task.phase == task_phase::failed || task.failures > 0 || !task.checkpoint.empty();
+           });
 }
 
 bool job::hasAssigned() const
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -205,6 +205,7 @@
         run->confirmed = true;
         run->confirmedAt = now;
         run->proven = run->proven || proven;
+        m_model.find(placed.task.job)->recordStart();
         if (!target->pollInFlight) {
             target->nextPollAt = now;
         }
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -367,6 +367,32 @@
     cr_assert_eq(fleet.call("entry-1", "GET", QUEUE_PATH + FIRST_JOB), 200);
 }
 
+// Guards against MIXED of review/5: a job whose start a worker had refused counted as begun.
+Test(ownership, jobWhoseStartsAreRefusedCountsAsPending)
+{
+    fleet_fixture fleet;
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    const job_manager &manager = *fleet.sessions.at("entry-1")->manager();
+    for (const char *id : { "w1", "worker-2" }) {
+        fleet.platform.workerNamed(id).refusesStarts = true;
+    }
+    for (const char *job : { "00000000000000a1", "00000000000000a2", "00000000000000a3" }) {
+        fleet.platform.requests[job].queue = "q";
+        cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + job, "2"), 200);
+    }
+    for (int i = 0; i < 50; ++i) {
+        fleet.platform.advance(milliseconds(100));
+        cr_assert_eq(manager.pendingJobCount("q"), 3, "%d pending", manager.pendingJobCount("q"));
+    }
+    for (const char *id : { "w1", "worker-2" }) {
+        fleet.platform.workerNamed(id).refusesStarts = false;
+    }
+    fleet.platform.advance(seconds(3));
+    cr_assert_eq(manager.pendingJobCount("q"), 0);
+    cr_assert_eq(fleet.platform.doneRuns(), 6);
+}
+
 // A former owner that is partitioned from the store may still reach a worker that its successor cannot reach. The successor
 // must not start that worker's tasks elsewhere while they still run.
 Test(ownership, taskDoesNotRunTwiceWhenFormerOwnerAndWorkerArePartitioned)
