--- a/packages/jobs/test/run_supervisor_test.cpp
+++ b/packages/jobs/test/run_supervisor_test.cpp
@@ -140,7 +140,8 @@
 class one_task_fixture
 {
 public:
-    one_task_fixture()
+    explicit one_task_fixture(milliseconds maxLease = manager_bounds().maxLease)
+        : m_model(boundsWith(maxLease))
     {
         auto config = std::make_shared<fleet_config>();
         config->queues.push_back({});
@@ -210,10 +211,21 @@
     const task_key key{ "00000000000000a1", 0, 0, 0 };
 
 private:
-    fleet_model m_model{ manager_bounds() };
+    static manager_bounds boundsWith(milliseconds maxLease)
+    {
+        manager_bounds bounds;
+        bounds.maxLease = maxLease;
+        return bounds;
+    }
+
+    fleet_model m_model;
     run_supervisor m_runs{ m_model, platform, platform, platform, 1, platform };
 };
 
+// A task that lasts has to run again when the fleet has been calm for this long since its worker was lost: 4 s, and 3 s in which it has
+// nothing running.
+constexpr milliseconds MAX_WAIT_OF_A_LASTING_TASK{ 7000 };
+
 struct lost_start_row
 {
     const char *name;
@@ -308,3 +320,14 @@
     cr_assert_not(fixture.platform.isRunning(fixture.key));
     cr_assert_eq(fixture.phase(), task_phase::waiting);
 }
+
+// Guards against LOST: a start has no answer, and its worker is gone for good. A restarted worker might hold the run for the longest lease,
+// which is 10 s on some fleets.
+Test(run_supervisor, taskInDoubtOnAWorkerThatIsGoneWaitsNoLongerThanATaskThatLastsMay)
+{
+    one_task_fixture fixture(seconds(10));
+    fixture.platform.setUnreachable(true);
+    fixture.place();
+    fixture.advance(MAX_WAIT_OF_A_LASTING_TASK);
+    cr_assert_eq(fixture.phase(), task_phase::waiting, "%d starts, %d stops", fixture.platform.starts, fixture.platform.stops);
+}
