Send starts, renewals and acknowledgements only to the incarnation they are meant for

Cause: a worker checks orders by its id alone and keeps the id when it restarts. As any order could have reached a later incarnation, which reckons its lease on another clock, everything in doubt waited for the longest lease.

Ruled out: waiting less (a restart that nobody sees would run tasks twice); naming the incarnation in the header (the platform defines it as the id).

Change: the adapter names the peer of each connection by the id and start time that a poll on it has shown, and sends starts, renewals and acknowledgements only over connections with the right name; over a new connection it polls first. http_client never reopens a closed connection, and a request on a reused connection is never reported as unsent. The second lease end, the runs that outlast a restart and the evidence of clocks go. The fake platform follows the new contract of worker_gateway; that the adapter keeps it is tested on real sockets.

Before: run_supervisor taskInDoubtOnAWorkerThatIsGoneWaitsNoLongerThanATaskThatLastsMay fails (known red); with the binding taken out of the adapter 6 of the 7 cases of worker_client fail.

--- a/packages/jobs/include/jujubespool/jobs/gateways.h
+++ b/packages/jobs/include/jujubespool/jobs/gateways.h
@@ -118,9 +118,9 @@
     bad_ticket,
     // The order was not carried out and will not be.
     refused,
-    // Another incarnation of the worker answered.
+    // Another incarnation of the worker answered, or another worker at the same address. None has carried out the order.
     other_incarnation,
-    // No answer: the order may have been carried out, or may be later.
+    // No answer: the incarnation that the order names may have carried it out, or may do so later. No other one can.
     unknown,
     // The order was not sent, because this process may not act at the moment. It says nothing about the worker.
     withheld
@@ -138,11 +138,14 @@
     // The worker's clock in milliseconds, if the answer contained it.
     std::optional<std::int64_t> clockMs;
     failure reason;
+    // Start time of the other incarnation that answered; 0 if it is not known.
+    std::uint64_t startTimeMs = 0;
 };
 
 struct worker_address
 {
-    // The incarnation that the order is meant for. The worker checks the id alone.
+    // The incarnation that the order is meant for. The worker checks the id alone, so the gateway sees to it that no other incarnation
+    // receives a start, an acknowledgement or a lease.
     worker_incarnation incarnation;
     std::string address;
     std::string dataCenter;
@@ -237,6 +240,7 @@
     failure reason;
 };
 
+// A stop or a limit of speed may reach another incarnation of the worker, which it cannot harm: it names a run that does not exist there.
 class worker_gateway
 {
 public:
@@ -245,6 +249,7 @@
     virtual void start(const start_order &order, order_callback done) = 0;
     virtual void stop(const stop_order &order, order_callback done) = 0;
     virtual void setSpeedLimit(const speed_limit_order &order, order_callback done) = 0;
+    // A poll that another incarnation answers has neither acknowledged nor renewed anything there, and says what that one has.
     virtual void poll(const poll_order &order, std::function<void(const poll_result &, instant now)> done) = 0;
 };
 
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -118,7 +118,7 @@
     void requestTickets(const ticket_request &request);
     // Whether the step, in the form "job.occurrence.step", still has tasks that are not done.
     bool isStepUnfinished(const std::string &step) const;
-    void stopRuns(const std::string &id, instant now);
+    void stopRuns(const std::string &id);
     void removeExpiredJobs(wall_ms wall);
     void restoreQueue(const std::string &name, const std::string &value);
     // Logs each job that cannot run, because neither the configuration nor the ledger has its queue.
--- a/packages/jobs/include/jujubespool/jobs/run_supervisor.h
+++ b/packages/jobs/include/jujubespool/jobs/run_supervisor.h
@@ -5,8 +5,7 @@
 //     runs.tick(now);                   // polls workers, renews their leases and releases the runs of expired leases
 //
 // The outcome of a start order without a response is unknown. The task is not started on another worker until a poll lists the run, a
-// stop of the run is confirmed, or the lease has certainly expired. A worker that restarts under its id executes orders that were meant
-// for its former incarnation. So a run whose order may have reached the later incarnation stays placed until that one shows what it has.
+// stop of the run is confirmed, the worker shows a later incarnation, or the lease has certainly expired.
 #pragma once
 
 #include <jujubespool/jobs/lifetime.h>
@@ -49,7 +48,7 @@
     // Gives the task back without an order.
     void withhold(const placement &placed, instant now);
     // Sends a stop order. The end of the run is applied when a poll reports it.
-    void stop(const task_key &key, instant now);
+    void stop(const task_key &key);
     // Takes the report over. One of a later incarnation shows that the worker has restarted.
     void onReport(const worker_report &report, instant now);
     // Limits the speed of the run to a percentage of its full speed, 0 to 100.
@@ -63,7 +62,6 @@
         placement placed;
         worker_incarnation worker;
         int attempts = 0;
-        instant sentAt;
     };
     struct sent_poll
     {
@@ -87,19 +85,15 @@
     void onStartRejected(const start_attempt &attempt, const order_result &result, instant now);
     // Ends the attempts to start the task's present run: the task waits again, at once if no order can still be executed.
     void giveUpStart(const task_key &key, instant now);
-    void sendStop(const task_key &key, int run, const worker_address &address, instant now);
-    void onStopAnswer(const task_key &key, int run, const worker_address &address, instant sentAt, const order_result &result, instant now);
-    // Reads the clock in the response to an order. Returns whether this incarnation has certainly executed the order.
-    bool recordResponse(worker &target, const order_result &result, instant sentAt, instant now);
-    // Reads the clock in a response that names this incarnation.
-    void recordProvenResponse(worker &target, std::int64_t clockMs, instant now);
+    void sendStop(const task_key &key, int run, const worker_address &address);
+    void onStopAnswer(const task_key &key, int run, const worker_address &address, const order_result &result, instant now);
+    // Records the clock in a response of this incarnation.
+    void recordClock(worker &target, std::int64_t clockMs, instant now);
     void avoidWorker(worker &target, milliseconds minTime, instant now);
     void poll(worker &target, instant now);
     void onPollResult(const sent_poll &sent, const poll_result &result, instant now);
     void onPollFailed(worker &target, const poll_result &result, instant now);
     bool stopConfirmedBefore(const worker &target, const task_key &key, int run, instant time) const;
-    // Number of the ends that the next poll of the worker acknowledges; 0 for none.
-    std::uint64_t endsToAcknowledge(const worker &target, instant now) const;
     void reconcileRuns(worker &target, instant sentAt, const poll_result &result, instant now);
     // Stops the runs whose start should have been settled long ago, so that their tasks wait again whatever has been lost.
     void settleOverdueStarts(worker &target, instant now);
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -6,9 +6,8 @@
 //
 // A worker that restarts keeps its id and reports a later start time. The id and the start time together identify an incarnation of the
 // worker. All state about a worker belongs to one incarnation: the registry holds the latest that is known under an id, and whoever waits
-// for a response keeps a worker_incarnation, by which it finds the state only while that incarnation is still the latest. No run of an
-// earlier incarnation still exists, but orders name a worker by its id alone, so a later incarnation may have executed an order that was
-// meant for an earlier one.
+// for a response keeps a worker_incarnation, by which it finds the state only while that incarnation is still the latest. An order reaches
+// only the incarnation that it is meant for (worker_gateway), so nothing of an earlier incarnation exists once a later one is known.
 #pragma once
 
 #include <jujubespool/jobs/job.h>
@@ -72,8 +71,6 @@
     bool longRunning = false;
     // The worker has accepted the start order or listed the run.
     bool confirmed = false;
-    // A response shows that the known incarnation of the worker has executed the order, not a later one under the same id.
-    bool proven = false;
     // A start order for the run had no response, so that its outcome is unknown.
     bool inDoubt = false;
     // A stop order has been sent.
@@ -92,15 +89,6 @@
     milliseconds tailLatencyTarget{ 0 };
 };
 
-// What the clock in a response says about the incarnation that has sent it.
-enum class clock_evidence {
-    same_incarnation,
-    // The clock has gone back: it was started anew.
-    other_incarnation,
-    // Another incarnation could show the same time.
-    none
-};
-
 // One incarnation of a worker, the latest that is known.
 struct worker
 {
@@ -110,8 +98,6 @@
     // A response has shown this incarnation, and the platform's list does not contain its report yet, so its capacity, labels and pool are
     // not known.
     bool reportAwaited = false;
-    // The clock in a response does not fit to this incarnation. The worker gets no new tasks until a poll shows which one it is.
-    bool restartSuspected = false;
     std::map<task_key, placed_run> runs;
     // Sum of the resources of the placed runs. Best-effort runs count without their CPU.
     resources used;
@@ -121,18 +107,11 @@
     bool clockKnown = false;
     // Latest time at which a lease that was granted to this incarnation expires. Nothing runs there afterwards unless it is renewed.
     instant leaseEnd;
-    // Latest time at which a lease expires that an order has granted to a later incarnation, which has not shown itself yet. Such a lease
-    // has the maximum length, because the order names a time on another clock.
-    instant laterLeaseEnd;
-    // Runs here were ordered for an earlier incarnation, so their leases may have the maximum length.
-    bool inheritsLeases = false;
     // Highest number of a run end that the worker has reported, the highest of those that are durably recorded, and the highest that
     // this incarnation is known to have deleted.
     std::uint64_t lastEndSeen = 0;
     std::uint64_t lastEndRecorded = 0;
     std::uint64_t lastEndAcknowledged = 0;
-    // Time of the last response that certainly came from this incarnation.
-    instant lastProofAt;
     // This incarnation has answered a poll that carried the manager's fencing token.
     bool polled = false;
     bool pollInFlight = false;
@@ -163,10 +142,6 @@
     {
         return report.incarnation();
     }
-    // `sentAt` is the time at which the order was sent whose response contains the clock.
-    clock_evidence evidenceOf(std::int64_t clock, instant sentAt, instant now) const;
-    // Whether this run must not be taken for ended if the worker turns out to have restarted.
-    static bool mayBeOnLaterIncarnation(const placed_run &run);
     // Runs of several jobs have failed here, and nothing shows that the jobs themselves are the cause.
     bool isSuspectedToFailRuns() const;
     // The worker answers polls and is neither avoided nor suspected, or the time has come for a trial.
@@ -188,8 +163,8 @@
     // Adds the worker, or updates it if the report is of its present incarnation. A report of an earlier incarnation is ignored. One of a
     // later incarnation must follow replaceWith().
     void update(const worker_report &report, instant now);
-    // Begins a later incarnation of the worker, whose report is not known yet. It takes over the runs that are left and nothing else.
-    worker &replaceWith(const worker_incarnation &later, instant now);
+    // Begins a later incarnation of the worker, which has nothing of the present one. Its report is not known yet.
+    void replaceWith(const worker_incarnation &later, instant now);
     void markUnlisted(const std::string &id);
     // Removes unlisted workers that have no runs, no poll in flight and no unexpired lease.
     void pruneUnlisted(instant now);
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -206,7 +206,7 @@
             allPlaceable = false;
         } else if (now >= m_evictNotBefore && canEvict(key)) {
             m_log.write("run-evicted", { { "task", key.text() }, { "worker", target.report.id } });
-            m_runs.stop(key, now);
+            m_runs.stop(key);
         }
     }
     return allPlaceable;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -209,9 +209,9 @@
     }
     processChanges(now);
     m_writer.whenDurable(
-        [this, id, done](instant then) {
+        [this, id, done](instant) {
             done(cancel_result::cancelled);
-            stopRuns(id, then);
+            stopRuns(id);
         },
         now);
 }
@@ -240,7 +240,7 @@
     }));
 }
 
-void job_manager::stopRuns(const std::string &id, instant now)
+void job_manager::stopRuns(const std::string &id)
 {
     job *found = m_model.find(id);
     if (found == nullptr) {
@@ -250,7 +250,7 @@
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
                 if (occurrence.steps[step][index].phase == task_phase::assigned) {
-                    m_runs.stop({ id, number, static_cast<int>(step), static_cast<int>(index) }, now);
+                    m_runs.stop({ id, number, static_cast<int>(step), static_cast<int>(index) });
                 }
             }
         }
@@ -409,7 +409,7 @@
     if (endedJob->state() == job_state::completed) {
         m_log.observe("job", endedJob->request().team, age);
     } else if (endedJob->state() == job_state::failed) {
-        m_timers.after(milliseconds(0), m_lifetime.guard([this, id](instant now) { stopRuns(id, now); }));
+        m_timers.after(milliseconds(0), m_lifetime.guard([this, id](instant) { stopRuns(id); }));
     }
 }
 
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -30,8 +30,6 @@
 constexpr double TAIL_LATENCY_HIGH_RATIO = 0.8;
 constexpr double TAIL_LATENCY_LOW_RATIO = 0.55;
 constexpr int SPEED_LIMIT_INCREASE_PERCENT = 10;
-// Ends are acknowledged only to an incarnation that has shown itself within this time: the numbers mean other ends to a later one.
-constexpr milliseconds MAX_PROOF_AGE{ 2000 };
 
 // The runs that a poll result lists as active or ended. Refers to the result and copies no keys, since every poll needs it.
 class listed_runs
@@ -100,14 +98,13 @@
     poll_order order;
     order.worker = addressOf(target);
     order.fencingToken = m_token;
-    order.acknowledgedEnds = endsToAcknowledge(target, now);
+    order.acknowledgedEnds = target.lastEndRecorded > target.lastEndAcknowledged ? target.lastEndRecorded : 0;
     // The leases of a worker that does not respond are not renewed.
-    if (target.clockKnown && target.unansweredPolls == 0 && !target.restartSuspected && !target.runs.empty()
-        && m_listener.isOwnershipConfirmed(now)) {
+    if (target.clockKnown && target.unansweredPolls == 0 && !target.runs.empty() && m_listener.isOwnershipConfirmed(now)) {
         order.untilMs = leaseUntil(target, now);
     }
     const bool stopPending = std::any_of(target.runs.begin(), target.runs.end(), [](const auto &entry) { return entry.second.stopping; });
-    if (target.polled && target.unansweredPolls == 0 && !stopPending && !target.restartSuspected) {
+    if (target.polled && target.unansweredPolls == 0 && !stopPending) {
         order.wait = POLL_WAIT;
     }
     if (!target.polled && target.unansweredPolls == 0) {
@@ -118,15 +115,6 @@
     m_gateway.poll(order, m_lifetime.guard([this, sent](const poll_result &result, instant then) { onPollResult(sent, result, then); }));
 }
 
-std::uint64_t run_supervisor::endsToAcknowledge(const worker &target, instant now) const
-{
-    const bool isNew = target.lastEndRecorded > target.lastEndAcknowledged;
-    const bool shown = target.unansweredPolls == 0 && !target.restartSuspected && now - target.lastProofAt < MAX_PROOF_AGE;
-    const bool orderInDoubt = std::any_of(target.runs.begin(), target.runs.end(),
-                                          [](const auto &entry) { return !entry.second.confirmed && entry.second.inDoubt; });
-    return isNew && shown && !orderInDoubt ? target.lastEndRecorded : 0;
-}
-
 void run_supervisor::onPollResult(const sent_poll &sent, const poll_result &result, instant now)
 {
     m_log.count("looks_total", nameOf(result.status));
@@ -153,7 +141,6 @@
         onRestart({ sent.worker.id, result.startTimeMs }, now);
         target = m_model.workers().find(sent.worker.id);
     }
-    target->restartSuspected = false;
     const bool respondedSinceStart = target->startUnansweredAt && sent.at > *target->startUnansweredAt;
     if (target->unansweredPolls > 0 || respondedSinceStart) {
         m_log.write("worker-answers-again", { { "worker", sent.worker.id }, { "unanswered", std::to_string(target->unansweredPolls) } });
@@ -161,10 +148,11 @@
         target->avoidUntil = now;
         target->avoidBackoff = milliseconds(0);
     }
-    recordProvenResponse(*target, result.clockMs, now);
+    target->lastResponseAt = now;
+    recordClock(*target, result.clockMs, now);
     if (!target->polled) {
         // The worker has accepted this manager's fencing token, so only this manager can renew its leases from now on.
-        target->leaseEnd = target->inheritsLeases ? target->leaseEnd : std::min(target->leaseEnd, now + m_model.leaseExpiryBound());
+        target->leaseEnd = std::min(target->leaseEnd, now + m_model.leaseExpiryBound());
         target->polled = true;
     }
     if (!restarted) {
@@ -204,20 +192,19 @@
         if (placed == target.runs.end() || placed->second.run != running.run) {
             m_log.write("unknown-run-stopped",
                         { { "task", running.task.text() }, { "run", std::to_string(running.run) }, { "worker", target.report.id } });
-            sendStop(running.task, running.run, addressOf(target), now);
+            sendStop(running.task, running.run, addressOf(target));
             continue;
         }
         placed_run &run = placed->second;
         run.confirmedAt = run.confirmed ? run.confirmedAt : now;
         run.confirmed = true;
-        run.proven = true;
         run.progressPercent = running.progressPercent;
         run.reportedMetric = running.reportedMetric;
         job *owningJob = m_model.find(running.task.job);
         owningJob->recordStart();
         owningJob->setCheckpoint(running.task, running.checkpoint);
         if (!owningJob->needsRun(running.task)) {
-            stop(running.task, now);
+            stop(running.task);
         }
     }
     std::vector<task_key> gone;
@@ -250,7 +237,7 @@
     for (const task_key &key : overdue) {
         m_log.write("start-overdue", { { "task", key.text() }, { "worker", target.report.id } });
         m_log.count("overdue_total", "start");
-        stop(key, now);
+        stop(key);
     }
 }
 
@@ -317,7 +304,7 @@
 {
     std::vector<task_key> keys;
     for (const auto &[key, run] : target.runs) {
-        if (run.orderedAt && (now >= target.laterLeaseEnd || !worker::mayBeOnLaterIncarnation(run))) {
+        if (run.orderedAt) {
             keys.push_back(key);
         }
     }
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -50,35 +50,12 @@
 {
     const auto msSinceRead = duration_cast<milliseconds>(now - target.clockReadAt).count();
     target.leaseEnd = std::max(target.leaseEnd, now + m_model.leaseExpiryBound());
-    target.laterLeaseEnd = std::max(target.laterLeaseEnd, now + m_model.maxLeaseExpiryBound());
     return target.clockMs + static_cast<std::int64_t>(static_cast<double>(msSinceRead) * MIN_WORKER_CLOCK_RATE)
         + m_model.leaseLength().count();
 }
 
-bool run_supervisor::recordResponse(worker &target, const order_result &result, instant sentAt, instant now)
+void run_supervisor::recordClock(worker &target, std::int64_t clockMs, instant now)
 {
-    target.lastResponseAt = now;
-    const clock_evidence evidence = result.clockMs ? target.evidenceOf(*result.clockMs, sentAt, now) : clock_evidence::none;
-    if (evidence == clock_evidence::other_incarnation && !target.restartSuspected) {
-        m_log.write("worker-clock-reset",
-                    { { "worker", target.report.id },
-                      { "born", std::to_string(target.report.startTimeMs) },
-                      { "clock_ms", std::to_string(*result.clockMs) },
-                      { "clock_ms_before", std::to_string(target.clockMs) } });
-        target.restartSuspected = true;
-    }
-    if (evidence != clock_evidence::same_incarnation) {
-        target.nextPollAt = target.pollInFlight ? target.nextPollAt : now;
-        return false;
-    }
-    recordProvenResponse(target, *result.clockMs, now);
-    return true;
-}
-
-void run_supervisor::recordProvenResponse(worker &target, std::int64_t clockMs, instant now)
-{
-    target.lastResponseAt = now;
-    target.lastProofAt = now;
     target.unansweredPolls = 0;
     target.clockMs = clockMs;
     target.clockReadAt = now;
@@ -99,16 +76,12 @@
     const worker &former = *m_model.workers().find(later.id);
     const std::uint64_t formerStart = former.report.startTimeMs;
     const std::size_t formerRuns = former.runs.size();
-    const std::vector<task_key> undecided = m_model.restartWorker(later, now);
+    m_model.restartWorker(later, now);
     m_log.write("worker-restarted",
                 { { "worker", later.id },
                   { "born", std::to_string(later.startTimeMs) },
                   { "born_before", std::to_string(formerStart) },
-                  { "runs", std::to_string(formerRuns) },
-                  { "kept", std::to_string(m_model.workers().find(later.id)->runs.size()) } });
-    for (const task_key &key : undecided) {
-        stop(key, now);
-    }
+                  { "runs", std::to_string(formerRuns) } });
 }
 
 void run_supervisor::avoidWorker(worker &target, milliseconds minTime, instant now)
@@ -163,7 +136,6 @@
     order.repeated = attempt.attempts > 0;
     start_attempt next = attempt;
     ++next.attempts;
-    next.sentAt = now;
     m_gateway.start(order, m_lifetime.guard([this, next](const order_result &result, instant then) { onStartAnswer(next, result, then); }));
 }
 
@@ -200,17 +172,24 @@
         onStartRejected(attempt, result, now);
         return;
     }
-    const bool proven = target->incarnation() == attempt.worker && recordResponse(*target, result, attempt.sentAt, now);
+    if (result.status == order_status::other_incarnation && result.startTimeMs > target->report.startTimeMs) {
+        onRestart({ target->report.id, result.startTimeMs }, now);
+        m_listener.onProgress(now);
+        return;
+    }
+    target->lastResponseAt = now;
+    if (result.clockMs && result.status != order_status::other_incarnation) {
+        recordClock(*target, *result.clockMs, now);
+    }
     if (result.status == order_status::accepted) {
         run->confirmed = true;
         run->confirmedAt = now;
-        run->proven = run->proven || proven;
         m_model.find(placed.task.job)->recordStart();
         if (!target->pollInFlight) {
             target->nextPollAt = now;
         }
         if (!m_model.find(placed.task.job)->needsRun(placed.task)) {
-            stop(placed.task, now);
+            stop(placed.task);
         }
         return;
     }
@@ -230,7 +209,7 @@
     if (attempt.attempts < MAX_START_ATTEMPTS && !run.stopping) {
         sendStart(attempt, now);
     } else if (!run.confirmed) {
-        stop(attempt.placed.task, now);
+        stop(attempt.placed.task);
     }
 }
 
@@ -265,14 +244,14 @@
 {
     if (workerOf(key)->runs.at(key).inDoubt) {
         // An earlier copy of the order may still be executed.
-        stop(key, now);
+        stop(key);
         return;
     }
     m_model.release(key);
     m_listener.onProgress(now);
 }
 
-void run_supervisor::stop(const task_key &key, instant now)
+void run_supervisor::stop(const task_key &key)
 {
     worker *target = workerOf(key);
     if (target == nullptr) {
@@ -281,20 +260,19 @@
     placed_run &run = target->runs.at(key);
     if (!run.stopping) {
         run.stopping = true;
-        sendStop(key, run.run, addressOf(*target), now);
+        sendStop(key, run.run, addressOf(*target));
     }
 }
 
-void run_supervisor::sendStop(const task_key &key, int run, const worker_address &address, instant sentAt)
+void run_supervisor::sendStop(const task_key &key, int run, const worker_address &address)
 {
     const stop_order order{ address, key, run, m_token };
-    m_gateway.stop(order, m_lifetime.guard([this, key, run, address, sentAt](const order_result &result, instant now) {
-        onStopAnswer(key, run, address, sentAt, result, now);
+    m_gateway.stop(order, m_lifetime.guard([this, key, run, address](const order_result &result, instant now) {
+        onStopAnswer(key, run, address, result, now);
     }));
 }
 
-void run_supervisor::onStopAnswer(const task_key &key, int run, const worker_address &address, instant sentAt, const order_result &result,
-                                  instant now)
+void run_supervisor::onStopAnswer(const task_key &key, int run, const worker_address &address, const order_result &result, instant now)
 {
     m_log.count("stops_total", nameOf(result.status));
     worker *target = m_model.workers().find(address.incarnation);
@@ -306,7 +284,7 @@
         return;
     }
     if (result.status == order_status::accepted) {
-        recordResponse(*target, result, sentAt, now);
+        target->lastResponseAt = now;
         m_confirmedStops[{ key, run }] = { address.incarnation, now };
         if (!target->pollInFlight) {
             target->nextPollAt = now;
@@ -314,8 +292,8 @@
         return;
     }
     const bool placed = runOf(key, run) != nullptr;
-    if (placed || now < std::max(target->leaseEnd, target->laterLeaseEnd)) {
-        m_timers.after(STOP_RETRY_DELAY, m_lifetime.guard([this, key, run, address](instant then) { sendStop(key, run, address, then); }));
+    if (placed || now < target->leaseEnd) {
+        m_timers.after(STOP_RETRY_DELAY, m_lifetime.guard([this, key, run, address](instant) { sendStop(key, run, address); }));
     }
 }
 
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -10,12 +10,6 @@
 // A single failing job is not enough, because a job that cannot succeed fails on every worker.
 constexpr std::size_t FAILED_JOBS_BEFORE_SUSPICION = 2;
 
-constexpr int FULL_SPEED_PERCENT = 100;
-// A clock that is further back than this was started anew. Responses may be delayed between the reading and its arrival.
-constexpr milliseconds CLOCK_READING_TOLERANCE{ 100 };
-// Longest time between the reading of a clock and its arrival here: that of a poll that waits.
-constexpr milliseconds MAX_RESPONSE_AGE{ 2500 };
-
 // The resources of the run that count against the worker's capacity.
 resources countedResources(const placed_run &run)
 {
@@ -39,32 +33,7 @@
 
 bool worker::mayGetTasks(instant now) const
 {
-    return unansweredPolls == 0 && !restartSuspected && now >= avoidUntil && (now >= nextTrialAt || !isSuspectedToFailRuns());
-}
-
-clock_evidence worker::evidenceOf(std::int64_t clock, instant sentAt, instant now) const
-{
-    if (!clockKnown) {
-        return clock_evidence::none;
-    }
-    const auto between = [](instant from, instant to) {
-        return duration_cast<milliseconds>(to - from);
-    };
-    const milliseconds sinceRead = between(clockReadAt, sentAt);
-    // If this order was sent before the clock was read, its response may have been overtaken.
-    const double rate = sinceRead.count() > 0 ? MIN_WORKER_CLOCK_RATE : 1;
-    const double least = static_cast<double>(clockMs) + rate * static_cast<double>(sinceRead.count());
-    if (static_cast<double>(clock) < least - static_cast<double>(CLOCK_READING_TOLERANCE.count())) {
-        return clock_evidence::other_incarnation;
-    }
-    // The clock of an incarnation that has started since then cannot show more than the time since then.
-    const bool older = milliseconds(clock) > between(clockReadAt, now) + MAX_RESPONSE_AGE;
-    return older ? clock_evidence::same_incarnation : clock_evidence::none;
-}
-
-bool worker::mayBeOnLaterIncarnation(const placed_run &run)
-{
-    return run.orderedAt && (!run.proven || run.inDoubt);
+    return unansweredPolls == 0 && now >= avoidUntil && (now >= nextTrialAt || !isSuspectedToFailRuns());
 }
 
 bool worker::hasLabel(const std::string &label) const
@@ -130,7 +99,7 @@
     }
 }
 
-worker &worker_registry::replaceWith(const worker_incarnation &later, instant now)
+void worker_registry::replaceWith(const worker_incarnation &later, instant now)
 {
     worker &entry = m_workers.at(later.id);
     worker next;
@@ -139,18 +108,7 @@
     next.reportAwaited = true;
     next.nextPollAt = now;
     next.lastResponseAt = now;
-    next.leaseEnd = entry.runs.empty() ? instant() : std::max(entry.leaseEnd, entry.laterLeaseEnd);
-    next.laterLeaseEnd = next.leaseEnd;
-    next.inheritsLeases = !entry.runs.empty();
-    for (const auto &[key, run] : entry.runs) {
-        placed_run kept = run;
-        kept.proven = false;
-        kept.stopping = false;
-        kept.speedLimitPercent = FULL_SPEED_PERCENT;
-        next.place(key, kept);
-    }
     entry = std::move(next);
-    return entry;
 }
 
 void worker_registry::markUnlisted(const std::string &id)
--- a/packages/manager/src/relay_messages.cpp
+++ b/packages/manager/src/relay_messages.cpp
@@ -139,6 +139,7 @@
         message.set_clock_ms(*result.clockMs);
     }
     message.set_reason(result.reason.reason);
+    message.set_worker_start_ms(result.startTimeMs);
     return message;
 }
 
@@ -182,6 +183,7 @@
         result.clockMs = message.clock_ms();
     }
     result.reason = { failure_step::exchange, {}, message.reason() };
+    result.startTimeMs = message.worker_start_ms();
     return result;
 }
 
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -343,6 +343,59 @@
     playIdleRestart(UNSEEN_RESTARTS[*row]);
 }
 
+// Guards against TWICE: a worker restarts at any time while it runs tasks, and ends tasks of its own before the next poll, which
+// acknowledged them by the numbers of the former incarnation.
+Test(ownership, tasksRunOnceWheneverTheirWorkerRestartsUnseen)
+{
+    for (milliseconds at(0); at < milliseconds(1200); at += milliseconds(10)) {
+        fleet_fixture fleet;
+        fake_platform &platform = fleet.platform;
+        platform.unlistWorker("worker-2");
+        platform.runTime = [](const task_key &key) {
+            return key.job == FIRST_JOB ? milliseconds(250) : milliseconds(20);
+        };
+        fleet.begin("entry-1", 11);
+        platform.advance(seconds(1));
+        cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "16"), 200);
+        platform.advance(at);
+        platform.restartWorker("w1", milliseconds(5000));
+        cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + "00000000000000a2", "4"), 200);
+        platform.advance(milliseconds(300));
+        platform.listWorker("worker-2");
+        platform.advance(seconds(12));
+        const std::vector<std::string> &violations = platform.violations();
+        cr_assert(violations.empty(), "restart after %ld ms: %s", static_cast<long>(at.count()), violations[0].c_str());
+        const bool allDone = fleet.sessions.at("entry-1")->manager()->model().activeJobs().empty();
+        cr_assert(allDone, "restart after %ld ms", static_cast<long>(at.count()));
+    }
+}
+
+// Guards against TWICE: the former owner has started a task on a worker of whose restart it did not know, and its successor neither reaches
+// the worker nor finds it listed.
+Test(ownership, taskRunsOnceWhenOnlyTheFormerOwnerReachedItsRestartedWorker)
+{
+    fleet_fixture fleet;
+    fake_platform &platform = fleet.platform;
+    platform.unlistWorker("worker-2");
+    platform.runTime = [](const task_key &) {
+        return milliseconds(9000);
+    };
+    fleet.begin("entry-1", 11);
+    platform.advance(seconds(1));
+    platform.restartWorker("w1", milliseconds(20000));
+    platform.advance(milliseconds(50));
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "2"), 200);
+    platform.unlistWorker("w1");
+    platform.linksOf("entry-2").unreachableWorkers = { "w1" };
+    fleet.suspended.insert("entry-1");
+    fleet.begin("entry-2", 22);
+    platform.listWorker("worker-2");
+    platform.advance(seconds(40));
+    const std::vector<std::string> &violations = platform.violations();
+    cr_assert(violations.empty(), "%s", violations.empty() ? "" : violations[0].c_str());
+    cr_assert(fleet.sessions.at("entry-2")->manager()->model().activeJobs().empty());
+}
+
 // Guards against TWICE of review/1: a worker lists 500 ends in an answer, and runs whose ends were further back were taken for gone.
 Test(ownership, tasksWhoseEndsOneAnswerDoesNotListRunOnce)
 {
--- a/packages/platform/include/jujubespool/platform/http_client.h
+++ b/packages/platform/include/jujubespool/platform/http_client.h
@@ -4,7 +4,8 @@
 //     client.send(request, [](const http_result &result) { ... });
 //
 // A connection carries one request at a time. It is reused only after a complete response, so a late response can never
-// be delivered to a different request.
+// be delivered to a different request. A connection that was closed meanwhile is not reopened. So whoever answered on it once is the
+// only one who can receive a later request on it, which identifyPeer() and http_request::peer make use of.
 #pragma once
 
 #include <event2/event.h>
@@ -45,6 +46,9 @@
     milliseconds timeout{ 1000 };
     // Opens a new connection instead of reusing an idle one.
     bool freshConnection = false;
+    // If it is not empty, the request is sent only over an open connection whose peer was identified by this text. Without one, the
+    // outcome is connect_failed.
+    std::string peer;
 };
 
 enum class http_outcome {
@@ -70,6 +74,8 @@
     int status = 0;
     std::vector<http_header> headers;
     std::string body;
+    // The connection on which the response came, for identifyPeer(); 0 if it is not kept.
+    std::uint64_t connection = 0;
 
     // Value of the header, whose name is compared case-insensitively, or nullptr if it is absent.
     const std::string *header(std::string_view name) const;
@@ -109,6 +115,10 @@
 
     void send(const http_request &request, callback done) override;
 
+    // Names whoever has answered on the connection, which stays so for as long as the connection is open.
+    void identifyPeer(const std::string &address, std::uint64_t connection, const std::string &peer);
+    // Whether a request to the peer would be sent.
+    bool hasConnectionTo(const std::string &address, const std::string &peer);
     // Closes the idle connections to the address.
     void closeIdleConnections(const std::string &address);
 
@@ -119,11 +129,24 @@
 
 private:
     friend struct exchange;
-    evhttp_connection *acquireConnection(const http_request &request, const host_port &target);
-    void finish(exchange &active, const http_result &result, bool keepConnection);
+    struct connection_entry
+    {
+        evhttp_connection *handle = nullptr;
+        // Number of the connection among those of this client, from 1.
+        std::uint64_t number = 0;
+        // Empty until the peer is identified.
+        std::string peer;
+    };
+    connection_entry acquireConnection(const http_request &request, const host_port &target);
+    // Returns an idle connection for the request, or an entry without a handle.
+    connection_entry takeIdleConnection(const http_request &request);
+    // The latest open connection to the peer, or to anybody if it is empty. Frees those that it finds closed.
+    std::vector<connection_entry>::iterator findIdle(std::vector<connection_entry> &idle, const std::string &peer);
+    void finish(exchange &active, http_result result, bool keepConnection);
 
     event_base *m_base;
-    std::map<std::string, std::vector<evhttp_connection *>> m_idle;
+    std::map<std::string, std::vector<connection_entry>> m_idle;
+    std::uint64_t m_connections = 0;
     std::map<const exchange *, std::unique_ptr<exchange>> m_active;
 };
 
--- a/packages/platform/src/http_client.cpp
+++ b/packages/platform/src/http_client.cpp
@@ -48,7 +48,9 @@
 struct http_client::exchange
 {
     http_client *client = nullptr;
-    evhttp_connection *connection = nullptr;
+    connection_entry connection;
+    // The connection was open before the request was sent.
+    bool reused = false;
     evhttp_request *request = nullptr;
     event *timer = nullptr;
     std::string address;
@@ -87,7 +89,7 @@
     static void onTimeout(evutil_socket_t, short, void *argument)
     {
         auto &self = *static_cast<exchange *>(argument);
-        const bool connected = isConnected(self.connection);
+        const bool connected = self.reused || isConnected(self.connection.handle);
         evhttp_cancel_request(self.request);
         self.end(connected ? http_outcome::timed_out : http_outcome::connect_failed);
     }
@@ -176,28 +178,53 @@
 http_client::~http_client()
 {
     for (auto &[key, active] : m_active) {
-        if (active->connection != nullptr) {
-            evhttp_connection_free(active->connection);
+        if (active->connection.handle != nullptr) {
+            evhttp_connection_free(active->connection.handle);
         }
     }
     for (auto &[address, connections] : m_idle) {
-        for (evhttp_connection *connection : connections) {
-            evhttp_connection_free(connection);
+        for (const connection_entry &connection : connections) {
+            evhttp_connection_free(connection.handle);
         }
     }
 }
 
-evhttp_connection *http_client::acquireConnection(const http_request &request, const host_port &target)
+std::vector<http_client::connection_entry>::iterator http_client::findIdle(std::vector<connection_entry> &idle, const std::string &peer)
 {
-    std::vector<evhttp_connection *> &idle = m_idle[request.address];
-    if (!request.freshConnection && !idle.empty()) {
-        evhttp_connection *connection = idle.back();
-        idle.pop_back();
-        return connection;
+    for (auto position = idle.end(); position != idle.begin();) {
+        --position;
+        if (!peer.empty() && position->peer != peer) {
+            continue;
+        }
+        if (isConnected(position->handle)) {
+            return position;
+        }
+        freeLater(m_base, position->handle);
+        position = idle.erase(position);
+    }
+    return idle.end();
+}
+
+http_client::connection_entry http_client::takeIdleConnection(const http_request &request)
+{
+    std::vector<connection_entry> &idle = m_idle[request.address];
+    const auto found = findIdle(idle, request.peer);
+    if (found == idle.end()) {
+        return {};
+    }
+    connection_entry taken = std::move(*found);
+    idle.erase(found);
+    return taken;
+}
+
+http_client::connection_entry http_client::acquireConnection(const http_request &request, const host_port &target)
+{
+    connection_entry connection = request.freshConnection ? connection_entry() : takeIdleConnection(request);
+    if (connection.handle == nullptr && request.peer.empty()) {
+        connection = { evhttp_connection_base_new(m_base, nullptr, target.host.c_str(), target.port), ++m_connections, {} };
+        const timeval idleTimeout{ IDLE_TIMEOUT_S, 0 };
+        evhttp_connection_set_timeout_tv(connection.handle, &idleTimeout);
     }
-    evhttp_connection *connection = evhttp_connection_base_new(m_base, nullptr, target.host.c_str(), target.port);
-    const timeval idleTimeout{ IDLE_TIMEOUT_S, 0 };
-    evhttp_connection_set_timeout_tv(connection, &idleTimeout);
     return connection;
 }
 
@@ -211,12 +238,15 @@
     m_active.emplace(&active, std::move(owned));
     const std::optional<host_port> target = parseAddress(request.address);
     const timeval immediately{ 0, 0 };
-    if (!target) {
+    if (target) {
+        active.connection = acquireConnection(request, *target);
+    }
+    if (active.connection.handle == nullptr) {
         active.timer = evtimer_new(m_base, exchange::onNoConnection, &active);
         evtimer_add(active.timer, &immediately);
         return;
     }
-    active.connection = acquireConnection(request, *target);
+    active.reused = isConnected(active.connection.handle);
     active.request = evhttp_request_new(exchange::onDone, &active);
     evhttp_request_set_error_cb(active.request, exchange::onError);
     evkeyvalq *headers = evhttp_request_get_output_headers(active.request);
@@ -230,7 +260,7 @@
     }
     const evhttp_cmd_type command = request.method == http_method::post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
     active.sending = true;
-    const bool started = evhttp_make_request(active.connection, active.request, command, request.path.c_str()) == 0;
+    const bool started = evhttp_make_request(active.connection.handle, active.request, command, request.path.c_str()) == 0;
     active.sending = false;
     const bool pending = started && !active.endedWhileSending;
     active.timer = evtimer_new(m_base, pending ? exchange::onTimeout : exchange::onNoConnection, &active);
@@ -238,7 +268,7 @@
     evtimer_add(active.timer, pending ? &timeout : &immediately);
 }
 
-void http_client::finish(exchange &active, const http_result &result, bool keepConnection)
+void http_client::finish(exchange &active, http_result result, bool keepConnection)
 {
     const auto found = m_active.find(&active);
     if (found == m_active.end()) {
@@ -246,25 +276,45 @@
     }
     const std::unique_ptr<exchange> owned = std::move(found->second);
     m_active.erase(found);
-    if (owned->connection != nullptr) {
-        std::vector<evhttp_connection *> &idle = m_idle[owned->address];
+    if (owned->connection.handle != nullptr) {
+        std::vector<connection_entry> &idle = m_idle[owned->address];
         if (keepConnection && idle.size() < MAX_IDLE_PER_ADDRESS) {
-            idle.push_back(owned->connection);
+            result.connection = owned->connection.number;
+            idle.push_back(std::move(owned->connection));
         } else {
-            freeLater(m_base, owned->connection);
+            freeLater(m_base, owned->connection.handle);
         }
     }
     owned->done(result);
 }
 
+void http_client::identifyPeer(const std::string &address, std::uint64_t connection, const std::string &peer)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end()) {
+        return;
+    }
+    for (connection_entry &entry : found->second) {
+        if (entry.number == connection) {
+            entry.peer = peer;
+        }
+    }
+}
+
+bool http_client::hasConnectionTo(const std::string &address, const std::string &peer)
+{
+    const auto found = m_idle.find(address);
+    return found != m_idle.end() && findIdle(found->second, peer) != found->second.end();
+}
+
 void http_client::closeIdleConnections(const std::string &address)
 {
     const auto found = m_idle.find(address);
     if (found == m_idle.end()) {
         return;
     }
-    for (evhttp_connection *connection : found->second) {
-        freeLater(m_base, connection);
+    for (const connection_entry &connection : found->second) {
+        freeLater(m_base, connection.handle);
     }
     m_idle.erase(found);
 }
