Refuse fields of another type or out of range, with their names

Cause: the readers that pass over odd entries of other writers also read what clients, operators and the settings ask for, and turned what they couldn't read into 0.

Ruled out: stricter readers everywhere (entries of other writers and answers of the platform must be passed over).

--- a/packages/jobs/include/jujubespool/jobs/caller_codec.h
+++ b/packages/jobs/include/jujubespool/jobs/caller_codec.h
@@ -25,6 +25,8 @@
 {
     std::shared_ptr<const fleet_config> config;
     std::optional<host_maintenance_wave> wave;
+    // Why the entry is refused; what the former one says stays in force.
+    std::string problem;
 };
 
 class caller_codec
@@ -37,7 +39,7 @@
     virtual std::string errorBody(const std::string &reason) const = 0;
     // The API key in the value of an Authorization header; empty if there is none.
     virtual std::string keyOf(const std::string &authorization) const = 0;
-    // Both members are empty for entries of other kinds and for entries that cannot be parsed.
+    // Config and wave are empty for entries of other kinds and for entries with a problem.
     virtual operator_entry parseOperatorEntry(const ledger_entry &entry) const = 0;
     // Empty if the entry cannot be parsed.
     virtual std::optional<worker_report> parseWorkerEntry(const ledger_entry &entry) const = 0;
--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -33,6 +33,8 @@
     double hostOrdersPerSecond = 64;
     // How long the state of an ended job stays readable.
     seconds statusRetention{ 120 };
+    // Largest record that the platform's store accepts. A job and its progress are one record.
+    std::size_t maxRecordBytes = 262144;
 };
 
 // An owner that has had no durable ledger append for this long may have been replaced, unless its peers confirm its ownership. It then
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -77,6 +77,9 @@
 void owner_session::applyOperatorEntry(const ledger_entry &entry, instant now)
 {
     const operator_entry parsed = m_clients.codec.parseOperatorEntry(entry);
+    if (!parsed.problem.empty()) {
+        m_log.write("operator-entry-refused", { { "entry", entry.key }, { "reason", parsed.problem } });
+    }
     if (parsed.config && (!m_config || parsed.config->version > m_config->version)) {
         m_config = parsed.config;
         m_log.write("config-read",
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -302,7 +302,7 @@
     }
     operator_entry parseOperatorEntry(const ledger_entry &) const override
     {
-        return { platform.m_config, std::nullopt };
+        return { platform.m_config, std::nullopt, {} };
     }
     std::optional<worker_report> parseWorkerEntry(const ledger_entry &entry) const override
     {
@@ -495,6 +495,12 @@
     if (call.expectedEnd && *call.expectedEnd != log.size()) {
         return { append_status::wrong_offset, log.size(), {} };
     }
+    const bool tooLarge = std::any_of(call.entries.begin(), call.entries.end(), [this](const ledger_entry &entry) {
+        return maxRecordBytes > 0 && 1 + entry.key.size() + entry.value.value_or(std::string()).size() > maxRecordBytes;
+    });
+    if (tooLarge) {
+        return { append_status::rejected, 0, {} };
+    }
     m_epoch = call.epoch;
     m_sequence = call.sequence;
     for (const ledger_entry &entry : call.entries) {
