Refuse a job whose record the store cannot hold, and keep the records of recurring jobs small

Cause: a job and its progress are one record, nothing kept it below record_bytes, and the writer repeats a refused append for ever. The record of a recurring job also grew with each ended occurrence, and with all that were due at once.

Change: a job whose record could exceed record_bytes with all its tasks assigned gets 413 before anything is allocated for it. Ended occurrences are forgotten but for the latest, and due ones wait until the record has room.

Open: longer worker ids or checkpoints can still exceed the bound.

--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -165,6 +165,8 @@
 public:
     // Creates a queued job. A job that is not recurring gets its only occurrence at once.
     static job accept(const job_request &request, wall_ms now);
+    // Upper bound of the number of bytes of the job's image, whatever happens to its tasks. A recurring job counts with one occurrence.
+    static std::size_t imageBytesAtMost(const job_request &request);
     // Empty if the number of tasks in the image does not match its steps.
     static std::optional<job> fromImage(const wire::job_image &image);
     wire::job_image toImage() const;
@@ -207,8 +209,9 @@
     }
     // Earliest start time of the occurrence; 0 for a job that is not recurring.
     wall_ms dueAt(int occurrence) const;
-    // Adds the occurrences of a recurring job that are due. Returns true if at least one was added.
-    bool addDueOccurrences(wall_ms now);
+    // Adds the occurrences of a recurring job that are due, as far as the image of the job then certainly has no more bytes than the given
+    // number. The others are added once earlier ones have ended. Returns true if at least one was added.
+    bool addDueOccurrences(wall_ms now, std::size_t maxImageBytes);
     std::map<int, occurrence_progress> &occurrences()
     {
         return m_occurrences;
@@ -241,7 +244,8 @@
     // Marks the task as done. A gang's other members need no further run: those that wait are marked as done at once, those that are
     // assigned remain so until their run has left its worker.
     void markDone(const task_key &key);
-    // Marks each occurrence as ended whose tasks are all done and have left their workers. Returns true when the whole job is done.
+    // Marks each occurrence as ended whose tasks are all done and have left their workers, and forgets ended ones but for the latest.
+    // Returns true when the whole job is done.
     bool markFinishedOccurrences();
     // A worker has a run of one of the tasks.
     void recordStart()
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -25,7 +25,8 @@
     wave_status_publisher &status;
 };
 
-enum class submit_result { accepted, refused };
+// too_large: a record of the store cannot hold the job and its progress.
+enum class submit_result { accepted, refused, too_large };
 enum class cancel_result { cancelled, unknown_job };
 
 // The ledger append that claimed the ownership.
@@ -118,6 +119,8 @@
     void requestTickets(const ticket_request &request);
     // Whether the step, in the form "job.occurrence.step", still has tasks that are not done.
     bool isStepUnfinished(const std::string &step) const;
+    // Largest image of a job that fits into a record.
+    std::size_t maxImageBytes() const;
     void stopRuns(const std::string &id);
     void removeExpiredJobs(wall_ms wall);
     void restoreQueue(const std::string &name, const std::string &value);
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -8,6 +8,18 @@
 
 namespace {
 
+// Worker ids and checkpoints that are longer than this may make the image of a job larger than its upper bound.
+constexpr std::size_t MAX_WORKER_ID_BYTES = 32;
+constexpr std::size_t MAX_CHECKPOINT_BYTES = 32;
+constexpr std::uint32_t MAX_RUNS_OF_A_TASK = 1U << 20;
+// Start time of a worker of the year 2500.
+constexpr std::uint64_t LATEST_START_MS = 16725225600000;
+// Bytes that frame one entry of a list, and the fields of an occurrence besides its tasks.
+constexpr std::size_t ENTRY_FRAME_BYTES = 4;
+constexpr std::size_t OCCURRENCE_FRAME_BYTES = 24;
+// The end time and the state of a job, which its first image lacks.
+constexpr std::size_t END_BYTES = 16;
+
 wire::step_image toImage(const step_spec &step)
 {
     wire::step_image image;
@@ -68,6 +80,28 @@
     return image;
 }
 
+std::size_t taskBytesAtMost(const step_spec &step)
+{
+    wire::task_image image;
+    image.set_phase(static_cast<std::uint32_t>(task_phase::failed));
+    image.set_run(MAX_RUNS_OF_A_TASK);
+    image.set_failures(MAX_RUNS_OF_A_TASK);
+    image.set_checkpoint(std::string(step.savesProgress ? MAX_CHECKPOINT_BYTES : 0, 'x'));
+    image.set_worker(std::string(MAX_WORKER_ID_BYTES, 'x'));
+    image.set_born(LATEST_START_MS);
+    return image.ByteSizeLong() + ENTRY_FRAME_BYTES;
+}
+
+// Upper bound of the number of bytes that an occurrence under way adds to the image of a job.
+std::size_t occurrenceBytesAtMost(const job_request &request)
+{
+    std::size_t bytes = OCCURRENCE_FRAME_BYTES;
+    for (const step_spec &step : request.steps) {
+        bytes += static_cast<std::size_t>(step.count) * taskBytesAtMost(step);
+    }
+    return bytes;
+}
+
 task_progress fromImage(const wire::task_image &image)
 {
     task_progress task;
@@ -274,16 +308,32 @@
     return isRecurring() ? m_request.firstRun + static_cast<wall_ms>(m_request.interval.count() * occurrence) : 0;
 }
 
-bool job::addDueOccurrences(wall_ms now)
+std::size_t job::imageBytesAtMost(const job_request &request)
+{
+    job withoutProgress;
+    withoutProgress.m_request = request;
+    return withoutProgress.toImage().ByteSizeLong() + END_BYTES + occurrenceBytesAtMost(request);
+}
+
+bool job::addDueOccurrences(wall_ms now, std::size_t maxImageBytes)
 {
     if (!isRecurring() || ended()) {
         return false;
     }
     bool added = false;
     int next = m_occurrences.empty() ? 0 : m_occurrences.rbegin()->first + 1;
-    while (next < m_request.repeatCount && dueAt(next) <= now) {
+    if (next >= m_request.repeatCount || dueAt(next) > now) {
+        return false;
+    }
+    const std::size_t occurrenceBytes = occurrenceBytesAtMost(m_request);
+    std::size_t bytes = imageBytesAtMost(m_request);
+    for (const auto &[number, occurrence] : m_occurrences) {
+        bytes += occurrence.ended ? OCCURRENCE_FRAME_BYTES : occurrenceBytes;
+    }
+    while (next < m_request.repeatCount && dueAt(next) <= now && bytes <= maxImageBytes) {
         addOccurrence(next++);
         added = true;
+        bytes += occurrenceBytes;
     }
     return added;
 }
@@ -373,13 +423,17 @@
 
 bool job::markFinishedOccurrences()
 {
-    bool all = static_cast<int>(m_occurrences.size()) == occurrenceCount();
+    // All occurrences before the first that is kept have ended.
+    bool all = !m_occurrences.empty() && m_occurrences.rbegin()->first + 1 == occurrenceCount();
     for (auto &[number, progress] : m_occurrences) {
         const std::vector<int> &unfinished = progress.unfinishedTasks;
         const bool done = progress.ended || std::all_of(unfinished.begin(), unfinished.end(), [](int count) { return count == 0; });
         progress.ended = progress.ended || (done && !anyTaskOf(progress, isAssigned));
         all = all && done;
     }
+    std::erase_if(m_occurrences, [latest = m_occurrences.empty() ? 0 : m_occurrences.rbegin()->first](const auto &entry) {
+        return entry.second.ended && entry.first != latest;
+    });
     return all;
 }
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -14,6 +14,9 @@
 // that lose their host could not be started elsewhere.
 constexpr milliseconds STORE_SILENT_BEFORE_HOSTS_STAY{ 700 };
 
+// A record contains the key of the job beside its image.
+constexpr std::size_t MAX_KEY_BYTES = 64;
+
 bool hasValidTicket(const placement &placed, instant now)
 {
     return !placed.ticketValidUntil || now < *placed.ticketValidUntil;
@@ -178,6 +181,12 @@
     m_hostMaintenance.setWave(wave, wall);
 }
 
+std::size_t job_manager::maxImageBytes() const
+{
+    const std::size_t record = m_model.bounds().maxRecordBytes;
+    return record > MAX_KEY_BYTES ? record - MAX_KEY_BYTES : 0;
+}
+
 void job_manager::submit(const job_request &request, const std::function<void(submit_result result)> &done, instant now, wall_ms wall)
 {
     m_wall = wall;
@@ -187,8 +196,12 @@
         return;
     }
     if (!known) {
+        if (job::imageBytesAtMost(request) > maxImageBytes()) {
+            done(submit_result::too_large);
+            return;
+        }
         job &accepted = m_model.add(job::accept(request, wall));
-        accepted.addDueOccurrences(wall);
+        accepted.addDueOccurrences(wall, maxImageBytes());
         m_model.markChanged(request.id);
         m_scheduleNeeded = true;
     }
@@ -266,7 +279,7 @@
     }
     checkTakeOverKnown(now);
     for (const auto &[id, active] : m_model.activeJobs()) {
-        if (active->isRecurring() && active->addDueOccurrences(wall)) {
+        if (active->isRecurring() && active->addDueOccurrences(wall, maxImageBytes())) {
             m_model.markChanged(id);
             m_scheduleNeeded = true;
         }
--- a/packages/jobs/test/run_scheduler_test.cpp
+++ b/packages/jobs/test/run_scheduler_test.cpp
@@ -46,7 +46,7 @@
         step.longRunning = longRunning;
         request.steps.push_back(step);
         job &accepted = model.add(job::accept(request, WALL));
-        accepted.addDueOccurrences(WALL);
+        accepted.addDueOccurrences(WALL, manager_bounds().maxRecordBytes);
     }
 
     void schedule()
--- a/packages/manager/src/job_api_handler.cpp
+++ b/packages/manager/src/job_api_handler.cpp
@@ -108,9 +108,11 @@
         [this, id, queue = queue.name, team, reply](submit_result end) {
             m_log.write(
                 "submit",
-                { { "job", id }, { "queue", queue }, { "team", team }, { "accepted", end == submit_result::accepted ? "yes" : "no" } });
+                { { "job", id }, { "queue", queue }, { "team", team }, { "accepted", end == submit_result::accepted ? "yes" : end == submit_result::too_large ? "too-large" : "no" } });
             if (end == submit_result::accepted) {
                 reply({ STATUS_OK, "{}" });
+            } else if (end == submit_result::too_large) {
+                reply({ STATUS_TOO_LARGE, m_codec.errorBody("the job has too many tasks to be stored in one record") });
             } else {
                 reply({ STATUS_UNAVAILABLE, m_codec.errorBody("not taken, try again"), "application/json", RETRY_AFTER_S });
             }
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -130,6 +130,8 @@
     milliseconds gangWait{ 3000 };
     // Time until a moved host has a new worker; without it, a move keeps the worker.
     milliseconds moveTime{ 0 };
+    // The store refuses appends with a larger record; 0 for no limit.
+    std::size_t maxRecordBytes = 0;
     // Everything that runs on the worker is gone, and it answers nothing.
     void crashWorker(const std::string &id);
     const std::map<std::string, fake_worker> &workers() const
--- a/packages/manager/test/maintenance_test.cpp
+++ b/packages/manager/test/maintenance_test.cpp
@@ -67,7 +67,7 @@
         step.longRunning = true;
         step.maxUnavailable = 1;
         request.steps.push_back(step);
-        m_model.add(job::accept(request, WALL)).addDueOccurrences(WALL);
+        m_model.add(job::accept(request, WALL)).addDueOccurrences(WALL, manager_bounds().maxRecordBytes);
         m_model.place(m_key, *m_model.workers().find("w1"), m_platform.now());
         placed_run &run = m_model.workers().find("w1")->runs.at(m_key);
         run.confirmed = true;
--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -420,6 +420,47 @@
     cr_assert_eq(fleet.call("entry-1", "GET", QUEUE_PATH + FIRST_JOB), 200);
 }
 
+// Guards against LOST: a job that a record of the store cannot hold stopped all recording, for the next owner as well.
+Test(ownership, jobLargerThanARecordIsRefusedAndOthersGoOn)
+{
+    fleet_fixture fleet;
+    fleet.platform.maxRecordBytes = manager_bounds().maxRecordBytes;
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    job_request &large = fleet.platform.requests[FIRST_JOB];
+    large.queue = "q";
+    for (int i = 0; i < 13; ++i) {
+        large.steps.emplace_back();
+        large.steps.back().count = 10000;
+    }
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, "job:" + FIRST_JOB), 413);
+    cr_assert_eq(fleet.call("entry-1", "GET", QUEUE_PATH + FIRST_JOB), 410);
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + "00000000000000a2", "12"), 200);
+    fleet.platform.advance(seconds(3));
+    cr_assert_eq(fleet.platform.doneRuns(), 12);
+}
+
+// The largest job that is accepted can still be recorded when all its tasks are assigned.
+Test(ownership, largestAcceptedJobCompletes)
+{
+    fleet_fixture fleet;
+    fleet.platform.maxRecordBytes = manager_bounds().maxRecordBytes;
+    fleet.platform.addWorker("worker-with-a-rather-long-name-1", "pool", { 20000000, 20000000, 0 });
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    job_request request;
+    request.steps.emplace_back();
+    request.steps.back().count = 10000;
+    const std::size_t most = manager_bounds().maxRecordBytes - 100;
+    while (job::imageBytesAtMost(request) > most) {
+        --request.steps.back().count;
+    }
+    const int count = request.steps.back().count;
+    cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + FIRST_JOB, std::to_string(count)), 200);
+    fleet.platform.advance(seconds(20));
+    cr_assert_eq(fleet.platform.doneRuns(), count, "%d of %d", fleet.platform.doneRuns(), count);
+}
+
 // Guards against MIXED of review/5: a job whose start a worker had refused counted as begun.
 Test(ownership, jobWhoseStartsAreRefusedCountsAsPending)
 {
