Keep the latest idle connections of an address, not the first 64

Cause: a burst of stops left 64 idle connections of which no incarnation is known, and http_client kept no further one, so that the connection over which a worker had just been identified was closed.

Change: beyond the limit the oldest idle connection is closed.

Before: worker_client startIsSentAfterABurstOfStops fails ("does not keep connections open"); after: it passes, as do all tests of the adapter and the platform package.

--- a/packages/platform/include/jujubespool/platform/http_client.h
+++ b/packages/platform/include/jujubespool/platform/http_client.h
@@ -142,6 +142,8 @@
     connection_entry takeIdleConnection(const http_request &request);
     // The latest open connection to the peer, or to anybody if it is empty. Frees those that it finds closed.
     std::vector<connection_entry>::iterator findIdle(std::vector<connection_entry> &idle, const std::string &peer);
+    // Keeps the number of idle connections to an address within its limit.
+    void dropOldest(std::vector<connection_entry> &idle);
     void finish(exchange &active, http_result result, bool keepConnection);
 
     event_base *m_base;
--- a/packages/platform/src/http_client.cpp
+++ b/packages/platform/src/http_client.cpp
@@ -278,9 +278,10 @@
     m_active.erase(found);
     if (owned->connection.handle != nullptr) {
         std::vector<connection_entry> &idle = m_idle[owned->address];
-        if (keepConnection && idle.size() < MAX_IDLE_PER_ADDRESS) {
+        if (keepConnection) {
             result.connection = owned->connection.number;
             idle.push_back(std::move(owned->connection));
+            dropOldest(idle);
         } else {
             freeLater(m_base, owned->connection.handle);
         }
@@ -307,6 +308,14 @@
     return found != m_idle.end() && findIdle(found->second, peer) != found->second.end();
 }
 
+void http_client::dropOldest(std::vector<connection_entry> &idle)
+{
+    if (idle.size() > MAX_IDLE_PER_ADDRESS) {
+        freeLater(m_base, idle.front().handle);
+        idle.erase(idle.begin());
+    }
+}
+
 void http_client::closeIdleConnections(const std::string &address)
 {
     const auto found = m_idle.find(address);
