Soak profile "platform": workers keep their ids, data centres lose the store, many small tasks

The stand-in was kinder than the platform's pages: a new id at each start, open connections over a crash, all ends in one answer, one data centre, no late writes.

The default profile is as before.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,13 +1,18 @@
 #!/usr/bin/env python3
 """Soak test: runs manager processes against the jobs stand-in, injects faults, and checks the guarantees to clients.
 
-Usage: scripts/soak.py [--seed N] [--count N] [--regressions] [--seconds S] [--managers K] [--logs DIR]
+Usage: scripts/soak.py [--profile NAME] [--seed N] [--count N] [--regressions] [--seconds S] [--managers K] [--manager FILE] [--logs DIR]
 
 The seed determines the order and kind of the faults: processes are killed, stopped, paused and restarted; links are
 delayed, reset, blocked, or blocked in one direction by loopback proxies; the store and the workers fail. Meanwhile, clients
 submit, query and cancel jobs on persistent connections. Afterwards all faults are cleared, and each guarantee is checked
 against the responses that the clients got and the runs that the workers report. Prints one line per seed; the exit code
 is 1 if a seed fails.
+
+The profile "processes" harms mostly the managers. The profile "platform" has three data centres, jobs of many small tasks, and workers that
+restart under their ids, before or after their data centre is cut off from the store, lose the answers to starts or carry starts out late; the
+store carries writes out late. Whether a task ran twice is checked only by what the workers log: their starts, ends, acknowledged completions and
+crashes.
 """
 import argparse
 import asyncio
@@ -27,6 +32,8 @@
 POOLS = {"front": 4, "back": 4}
 SPARE_POOL = "spare"
 SPARE_HOSTS = 2
+ZONES = "abc"
+MANAGERS = {"processes": 4, "platform": 6}
 KEY = "soak-key"
 HOST = "jobs.example"
 CALL_TIMEOUT_S = 5.0
@@ -37,6 +44,8 @@
 VISIBILITY_DELAY_S = 3.0
 CLIENT_COUNT = 4
 ALWAYS_FAILS_COUNT = 99
+# Faults that happen at the moment at which they are set; the others last until they are set again.
+ONCE_FAULTS = ("crash_worker", "down_ms", "keep_id", "compact")
 # More workers than the test has.
 NEVER = 1000000
 
@@ -107,8 +116,10 @@
 class Manager:
     """A manager process, with a proxy for its clients and one for its connections to the platform."""
 
-    def __init__(self, number, platform, directory, relay_from):
+    def __init__(self, number, platform, directory, relay_from, zone, binary):
         self.name = f"manager-{number}"
+        self.zone = zone
+        self.binary = binary
         self.relay_from = relay_from
         self.ip = loopback_address(number)
         self.port, self.peer_port, self.ready_port = (free_port(self.ip) for _ in range(3))
@@ -124,7 +135,7 @@
         await self.platform_proxy.start()
         await self.client_proxy.start()
         body = {
-            "node_name": self.name, "ip": self.ip, "zone": "a",
+            "node_name": self.name, "ip": self.ip, "zone": self.zone,
             "listen_addrs": {"frontend": "%s:%d" % (self.ip, self.port), "ready": "%s:%d" % (self.ip, self.ready_port)},
             "internal_port_range": [self.peer_port, self.peer_port],
             "platform": {"address": self.platform_proxy.address}, "cloud": {"address": self.platform_proxy.address, "duty_per_s": 64},
@@ -136,7 +147,7 @@
 
     def launch(self):
         with open(self.log_path, "ab") as log:
-            self.process = subprocess.Popen([os.path.join(BINARIES, "jujubespoold"), "manager", "--metrics-port=0",
+            self.process = subprocess.Popen([self.binary, "manager", "--metrics-port=0",
                                              f"--relay-from={self.relay_from}"],
                                             env={**os.environ, "JUJUBESPOOL_SETTINGS": self.settings}, stdout=log, stderr=log)
         self.paused = False
@@ -214,11 +225,16 @@
 
 
 class SoakTest:
-    def __init__(self, seed, seconds, managers, directory):
+    def __init__(self, seed, options, directory):
         self.random = random.Random(seed)
-        self.seconds = seconds
+        self.seconds = options.seconds
         self.directory = directory
-        self.manager_count = managers
+        self.profile = options.profile
+        self.binary = os.path.abspath(options.manager)
+        self.manager_count = options.managers or MANAGERS[options.profile]
+        self.zones = ZONES if options.profile == "platform" else ZONES[:1]
+        self.events = os.path.join(directory, "workers.jsonl")
+        self.lasting_faults = {}
         # With an odd seed, the other managers send the owner's orders to the workers.
         self.relay_from = 1 if seed % 2 == 1 else NEVER
         self.jobs = []
@@ -228,10 +244,12 @@
         self.stopping = False
 
     async def run(self):
-        pools = [f"--pool={name}:{count}" for name, count in {**POOLS, SPARE_POOL: SPARE_HOSTS}.items()]
-        self.platform = subprocess.Popen([os.path.join(BINARIES, "standin_jobs"), *pools], stdout=subprocess.PIPE, text=True)
+        options = [f"--pool={name}:{count}" for name, count in {**POOLS, SPARE_POOL: SPARE_HOSTS}.items()]
+        options += [f"--zones={len(self.zones)}", f"--events={self.events}"]
+        self.platform = subprocess.Popen([os.path.join(BINARIES, "standin_jobs"), *options], stdout=subprocess.PIPE, text=True)
         self.address = self.platform.stdout.readline().strip()
-        self.managers = [Manager(i, self.address, self.directory, self.relay_from) for i in range(self.manager_count)]
+        self.managers = [Manager(i, self.address, self.directory, self.relay_from, self.zones[i % len(self.zones)], self.binary)
+                         for i in range(self.manager_count)]
         try:
             await self.publish_config()
             for manager in self.managers:
@@ -267,6 +285,10 @@
         return response
 
     async def set_faults(self, **faults):
+        if self.profile == "platform":
+            # Faults overlap, so each call repeats those that last.
+            self.lasting_faults.update({name: value for name, value in faults.items() if name not in ONCE_FAULTS})
+            faults = {**self.lasting_faults, **faults}
         await self.call_standin("POST", "/faults", json.dumps(faults).encode())
 
     # --- client requests ---
@@ -298,7 +320,8 @@
         identity = f"{self.random.getrandbits(64):016x}"
         steps = []
         for number in range(self.random.randint(1, 3)):
-            step = {"count": self.random.randint(1, 6), "cpu": self.random.choice([500, 2000]), "mem_mb": 512, "estimated_ms": 200}
+            step = self.small_step() if self.profile == "platform" else \
+                {"count": self.random.randint(1, 6), "cpu": self.random.choice([500, 2000]), "mem_mb": 512, "estimated_ms": 200}
             if number:
                 step["after"] = [number - 1]
             steps.append(step)
@@ -306,7 +329,10 @@
         self.jobs.append(job)
         job.always_fails = self.random.random() < 0.04
         fails = ALWAYS_FAILS_COUNT if job.always_fails else self.random.choice([0, 0, 0, 1])
-        spec = f"ms={self.random.randint(50, 900)} fail={fails}"
+        longest = 900
+        if self.profile == "platform":
+            longest = 300 if any(step["count"] > 100 for step in steps) else 8000 if len(steps) == 1 else 1500
+        spec = f"ms={self.random.randint(50, longest)} fail={fails}"
         body = json.dumps({"spec": spec, "steps": steps}).encode()
         for _ in range(4):
             status, _ = await self.send_and_check_time(client, "POST", job.path, body)
@@ -319,6 +345,9 @@
                 job.rejected = False
             await asyncio.sleep(self.random.uniform(0.1, 0.6))
 
+    def small_step(self):
+        return {"count": self.random.choice([1, 4, 20, 20, 400]), "cpu": 30, "mem_mb": 50, "estimated_ms": 200}
+
     async def query(self, client, job):
         visible = job.accepted_at is not None and time.monotonic() - job.accepted_at > VISIBILITY_DELAY_S
         cancel_sent = job.cancel_sent
@@ -328,8 +357,8 @@
             self.problems.append(f"accepted job is reported as unknown: {job.path}")
         if (state == "failed" and not job.always_fails) or (state == "cancelled" and not (cancel_sent or job.cancel_sent)):
             self.problems.append(f"{job.path} is reported as {state} without a reason")
-        if state == "completed":
-            job.completed = True
+        job.completed = job.completed or state == "completed"
+        if state == "completed" and self.profile == "processes":
             report = await self.report()
             missing = [task for task in job.tasks if task not in report["done"]]
             if missing:
@@ -348,6 +377,10 @@
         actions = [self.kill, self.terminate, self.pause, self.break_store, self.break_platform_link, self.break_client_link,
                    self.crash_random_worker, self.delay_starts, self.compact_topic, self.change_config, self.send_sighup, self.kill_all]
         weights = [3, 3, 3, 3, 4, 2, 3, 1, 1, 1, 1, 0.4]
+        if self.profile == "platform":
+            actions = [self.restart_worker, self.cut_zone, self.cut_zone_and_restart, self.break_store, self.lose_starts, self.delay_starts,
+                       self.kill, self.pause, self.terminate, self.break_platform_link]
+            weights = [6, 3, 5, 4, 2, 2, 1, 1, 1, 1]
         running = []
         while time.monotonic() < end:
             action = self.random.choices(actions, weights)[0]
@@ -398,7 +431,7 @@
             manager.paused = False
 
     async def break_store(self, _, seconds):
-        mode = self.random.choice(["rejects", "silent", "loses_answers", "slow"])
+        mode = self.random.choice(["rejects", "silent", "loses_answers", "slow"] + (["late", "late"] if self.profile == "platform" else []))
         await self.set_faults(store="none" if mode == "slow" else mode, slow_ms=200 if mode == "slow" else 0)
         await asyncio.sleep(seconds)
         await self.set_faults(store="none")
@@ -423,6 +456,40 @@
         await asyncio.sleep(seconds / 3)
         await self.set_faults(late_starts_ms=0)
 
+    async def restart_worker(self, _, seconds):
+        await self.set_faults(crash_worker=self.random.randrange(self.worker_count()), down_ms=int(seconds * 100), keep_id=True)
+
+    def worker_count(self):
+        return sum(POOLS.values()) + SPARE_HOSTS
+
+    async def cut_zone(self, _, seconds, zone=None):
+        """Cuts a data centre off from the store; its managers and workers reach each other and the others."""
+        zone = zone or self.random.choice(self.zones)
+        mode = self.random.choice(["reset", "silent"])
+        await self.set_faults(cut_zone=zone)
+        for manager in self.managers:
+            if manager.zone == zone:
+                manager.platform_proxy.set_mode(mode)
+        await asyncio.sleep(seconds * 1.5)
+        await self.set_faults(cut_zone="")
+        for manager in self.managers:
+            if manager.zone == zone:
+                manager.platform_proxy.set_mode("none")
+
+    async def cut_zone_and_restart(self, manager, seconds):
+        zone = self.random.choice(self.zones)
+        workers = [index for index in range(self.worker_count()) if self.zones[index % len(self.zones)] == zone]
+        cut = asyncio.create_task(self.cut_zone(manager, seconds, zone))
+        for _ in range(2):
+            await self.set_faults(crash_worker=self.random.choice(workers), down_ms=int(seconds * 60), keep_id=True)
+            await asyncio.sleep(seconds / 3)
+        await cut
+
+    async def lose_starts(self, _, seconds):
+        await self.set_faults(lose_starts=True)
+        await asyncio.sleep(seconds / 3)
+        await self.set_faults(lose_starts=False)
+
     async def compact_topic(self, *_):
         await self.set_faults(compact=self.random.choice(["keyed.op", "keyed.servers"]))
 
@@ -434,6 +501,7 @@
             manager.send_signal(signal.SIGHUP)
 
     async def clear_faults(self):
+        self.lasting_faults = {}
         await self.set_faults(store="none")
         for manager in self.managers:
             manager.platform_proxy.set_mode("none")
@@ -464,7 +532,7 @@
 
     async def check_guarantees(self):
         report = await self.report()
-        self.problems += report["violations"]
+        self.problems += report["violations"] if self.profile == "processes" else runs_that_overlap(self.events)
         running = {task.split(".")[0] for task in report["running"]}
         for job in self.jobs:
             identity = job.path.split("/")[-1]
@@ -474,11 +542,36 @@
                 self.problems.append(f"job was cancelled, but is running: {job.path}")
 
 
-async def run_seed(seed, seconds, managers, logs):
+def runs_that_overlap(path):
+    """Returns the starts of a task while another worker ran it, or after its end `done` was acknowledged, by what the workers have logged."""
+    running, acknowledged, problems = {}, set(), []
+    with open(path, encoding="utf-8") as file:
+        events = [json.loads(line) for line in file]
+    for event in events:
+        incarnation, task = (event["worker"], event["born"]), event["task"]
+        if event["event"] == "crash":
+            for others in running.values():
+                others.pop(incarnation, None)
+        elif event["event"] == "start":
+            others = running.setdefault(task, {})
+            if others:
+                problems.append(f"two runs at once: {task} run {event['run']} on {event['worker']} while {others} at {event['ms']}")
+            if task in acknowledged:
+                problems.append(f"started after its end was noted: {task} run {event['run']} on {event['worker']} at {event['ms']}")
+            others[incarnation] = event["run"]
+        elif event["event"] == "end":
+            running.get(task, {}).pop(incarnation, None)
+        elif event["event"] == "acknowledged":
+            acknowledged.add(task)
+    return problems
+
+
+async def run_seed(seed, options):
+    logs = options.logs
     directory = os.path.join(logs, f"soak-{seed}") if logs else tempfile.mkdtemp(prefix="soak-")
     shutil.rmtree(directory, ignore_errors=True)
     os.makedirs(directory)
-    soak = SoakTest(seed, seconds, managers, directory)
+    soak = SoakTest(seed, options, directory)
     problems = await soak.run()
     accepted = sum(job.accepted for job in soak.jobs)
     completed = sum(job.completed for job in soak.jobs)
@@ -504,11 +597,13 @@
     parser.add_argument("--count", type=int, default=1, help="number of consecutive seeds to run, starting with --seed")
     parser.add_argument("--regressions", action="store_true", help="run the seeds of scripts/soak_seeds.txt instead")
     parser.add_argument("--seconds", type=float, default=15, help="duration of the fault injection in seconds")
-    parser.add_argument("--managers", type=int, default=4)
+    parser.add_argument("--profile", choices=list(MANAGERS), default="processes", help="kinds of faults and jobs")
+    parser.add_argument("--managers", type=int, help="number of managers (default: 4, or 6 with the profile platform)")
+    parser.add_argument("--manager", default=os.path.join(BINARIES, "jujubespoold"), help="the program to test, such as an earlier version")
     parser.add_argument("--logs", help="directory for the logs of the processes (default: a temporary directory)")
     options = parser.parse_args()
     seeds = regression_seeds() if options.regressions else range(options.seed, options.seed + options.count)
-    results = [asyncio.run(run_seed(seed, options.seconds, options.managers, options.logs)) for seed in seeds]
+    results = [asyncio.run(run_seed(seed, options)) for seed in seeds]
     print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
     return 0 if all(results) else 1
 
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -68,6 +68,13 @@
     {
         evhttp_set_gencb(m_server, onRequest, this);
     }
+    // Closes all connections. Requests that have no response yet are no longer valid.
+    ~http_server()
+    {
+        evhttp_free(m_server);
+    }
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
 
     // Returns the bound address as "host:port", or an empty string on failure. With port 0, the kernel chooses the port.
     std::string bind(const std::string &host, std::uint16_t port)
--- a/standins/jobs/fleet_simulator.cpp
+++ b/standins/jobs/fleet_simulator.cpp
@@ -16,6 +16,10 @@
 constexpr int STATUS_OTHER_INCARNATION = 421;
 constexpr int STATUS_UNAVAILABLE = 503;
 constexpr std::uint64_t HEARTBEAT_INTERVAL_MS = 500;
+// An entry expires after three heartbeat intervals of silence.
+constexpr std::uint64_t ENTRY_LIFETIME_MS = 1500;
+// A poll lists at most this many ends.
+constexpr std::size_t MAX_LISTED_ENDS = 500;
 constexpr std::uint64_t RUN_CHECK_INTERVAL_MS = 10;
 constexpr std::uint64_t POLL_CHECK_INTERVAL_MS = 10;
 constexpr std::uint64_t MAX_LEASE_MS = 6000;
@@ -54,19 +58,40 @@
     checkRuns();
 }
 
-void fleet_simulator::addHosts(const std::string &pool, int count)
+void fleet_simulator::addHosts(const std::string &pool, int count, int zones)
 {
     for (int i = 0; i < count; ++i) {
         const std::size_t index = m_workers.size();
         auto worker = std::make_unique<simulated_worker>();
         worker->host = fmt::format("host-{}", index);
         worker->pool = pool;
-        worker->server
-            = std::make_unique<http_server>(m_base, [this, index](const http_request &request) { onWorkerRequest(index, request); });
-        worker->address = worker->server->bind("127.0.0.1", 0);
+        worker->zone = std::string(1, static_cast<char>('a' + static_cast<int>(index) % zones));
         m_hosts[worker->host] = { worker->host, pool, "up", index, 0 };
         m_workers.push_back(std::move(worker));
-        restartWorker(index, 0, "up");
+        openServer(index);
+        restartWorker(index, 0, "up", false);
+    }
+}
+
+void fleet_simulator::openServer(std::size_t index)
+{
+    simulated_worker &worker = *m_workers[index];
+    const std::size_t colon = worker.address.find(':');
+    const int port = colon == std::string::npos ? 0 : std::atoi(worker.address.c_str() + colon + 1);
+    worker.server = std::make_unique<http_server>(m_base, [this, index](const http_request &request) { onWorkerRequest(index, request); });
+    worker.address = worker.server->bind("127.0.0.1", static_cast<std::uint16_t>(port));
+    if (worker.address.empty()) {
+        throw std::runtime_error("the port of a worker is in use");
+    }
+}
+
+void fleet_simulator::logEvent(const simulated_worker &worker, const std::string &event, const std::string &task, int runNumber,
+                               const std::string &outcome)
+{
+    if (m_events.is_open()) {
+        m_events << json{ { "ms", wallNowMs() },   { "event", event }, { "worker", worker.id }, { "born", worker.startTimeMs },
+                          { "zone", worker.zone }, { "task", task },   { "run", runNumber },    { "how", outcome } }
+                 << std::endl;
     }
 }
 
@@ -75,14 +100,19 @@
     return worker.startTimeMs == 0 ? 0 : wallNowMs() - worker.startTimeMs;
 }
 
-void fleet_simulator::restartWorker(std::size_t index, std::uint64_t afterMs, const std::string &hostState)
+void fleet_simulator::restartWorker(std::size_t index, std::uint64_t afterMs, const std::string &hostState, bool keepsId)
 {
     simulated_worker &worker = *m_workers[index];
+    if (!worker.id.empty()) {
+        logEvent(worker, "crash", {}, 0, hostState);
+        worker.server.reset();
+    }
     for (const auto &[task, run] : worker.activeRuns) {
         m_workersRunning[task].erase(worker.id);
     }
-    if (!worker.id.empty()) {
+    if (!worker.id.empty() && !keepsId) {
         m_store.put("keyed.servers", worker.id, "");
+        worker.listed = false;
     }
     worker.activeRuns.clear();
     worker.unacknowledgedRuns.clear();
@@ -92,10 +122,15 @@
     worker.lastEndIndex = 0;
     worker.leaseExpiryMs = 0;
     m_hosts[worker.host].state = hostState;
-    m_server.runAfter(afterMs, [this, index] {
+    m_server.runAfter(afterMs, [this, index, keepsId] {
         simulated_worker &restarted = *m_workers[index];
+        if (!restarted.server) {
+            openServer(index);
+        }
         restarted.startTimeMs = wallNowMs();
-        restarted.id = fmt::format("w{}-{}", index, restarted.startTimeMs % 100000000);
+        if (!keepsId) {
+            restarted.id = fmt::format("w{}-{}", index, restarted.startTimeMs % 100000000);
+        }
         m_hosts[restarted.host].state = "up";
         sendHeartbeat(index);
     });
@@ -106,7 +141,7 @@
     simulated_worker &worker = *m_workers[index];
     const json entry{ { "service", worker.pool },
                       { "address", worker.address },
-                      { "zone", "a" },
+                      { "zone", worker.zone },
                       { "version", "1" },
                       { "slots", 8 },
                       { "state", "ready" },
@@ -115,7 +150,11 @@
                       { "born", worker.startTimeMs },
                       { "capacity", workerCapacity() },
                       { "labels", { "kind", "rack-1" } } };
-    m_store.put("keyed.servers", worker.id, entry.dump());
+    if (worker.zone != m_cutZone) {
+        m_store.put("keyed.servers", worker.id, entry.dump());
+        worker.listedAtMs = wallNowMs();
+        worker.listed = true;
+    }
     m_server.runAfter(HEARTBEAT_INTERVAL_MS, [this, index, startTimeMs = worker.startTimeMs] {
         if (m_workers[index]->startTimeMs == startTimeMs) {
             sendHeartbeat(index);
@@ -123,10 +162,20 @@
     });
 }
 
-void fleet_simulator::crashWorker(std::size_t workerIndex, std::uint64_t downMs)
+void fleet_simulator::expireEntries()
+{
+    for (auto &worker : m_workers) {
+        if (worker->listed && wallNowMs() - worker->listedAtMs > ENTRY_LIFETIME_MS) {
+            m_store.put("keyed.servers", worker->id, "");
+            worker->listed = false;
+        }
+    }
+}
+
+void fleet_simulator::crashWorker(std::size_t workerIndex, std::uint64_t downMs, bool keepsId)
 {
     if (workerIndex < m_workers.size() && m_workers[workerIndex]->startTimeMs != 0) {
-        restartWorker(workerIndex, downMs, "down");
+        restartWorker(workerIndex, downMs, "down", keepsId);
     }
 }
 
@@ -149,6 +198,7 @@
             endRun(*worker, task, outcome);
         }
     }
+    expireEntries();
     m_server.runAfter(RUN_CHECK_INTERVAL_MS, [this] { checkRuns(); });
 }
 
@@ -159,6 +209,7 @@
     m_workersRunning[task].erase(worker.id);
     worker.highestEndedRun[task] = std::max(worker.highestEndedRun[task], runNumber);
     worker.unacknowledgedRuns.push_back({ ++worker.lastEndIndex, task, runNumber, outcome, false });
+    logEvent(worker, "end", task, runNumber, outcome);
     if (outcome == "done") {
         m_completedTasks.insert(task);
     } else if (outcome == "failed") {
@@ -205,6 +256,7 @@
         = { runNumber, spec, longRunning ? UINT64_MAX : wallNowMs() + parseSpecNumber(spec, "ms", DEFAULT_RUN_MS), fails };
     m_workersRunning[task].insert(worker.id);
     ++m_startCounts[task];
+    logEvent(worker, "start", task, runNumber, {});
     return { STATUS_OK, { { "clock_ms", workerClockMs(worker) }, { "born", worker.startTimeMs } } };
 }
 
@@ -224,7 +276,9 @@
     const auto acknowledged = body.value("ack_index", std::uint64_t(0));
     for (const ended_run &endedRun : worker.unacknowledgedRuns) {
         if (endedRun.index <= acknowledged && endedRun.outcome == "done" && !endedRun.leaseExpired) {
-            m_acknowledgedTasks.insert(endedRun.task);
+            if (m_acknowledgedTasks.insert(endedRun.task).second) {
+                logEvent(worker, "acknowledged", endedRun.task, endedRun.runNumber, endedRun.outcome);
+            }
         }
     }
     std::erase_if(worker.unacknowledgedRuns, [&](const ended_run &endedRun) { return endedRun.index <= acknowledged; });
@@ -234,6 +288,9 @@
     }
     json finished = json::array();
     for (const ended_run &endedRun : worker.unacknowledgedRuns) {
+        if (finished.size() == MAX_LISTED_ENDS) {
+            break;
+        }
         finished.push_back({ endedRun.index, endedRun.task, endedRun.runNumber, endedRun.outcome, "" });
     }
     return { { "clock_ms", workerClockMs(worker) }, { "born", worker.startTimeMs }, { "running", running }, { "finished", finished } };
@@ -243,8 +300,13 @@
 {
     simulated_worker &worker = *m_workers[index];
     const json response = processPoll(worker, body);
-    if (response.at("finished").empty() && wallNowMs() < untilMs && worker.startTimeMs != 0) {
-        m_server.runAfter(POLL_CHECK_INTERVAL_MS, [this, index, request, body, untilMs] { replyToPoll(index, request, body, untilMs); });
+    if (response.at("finished").empty() && wallNowMs() < untilMs) {
+        m_server.runAfter(POLL_CHECK_INTERVAL_MS, [this, index, request, body, untilMs, startTimeMs = worker.startTimeMs] {
+            // The end of an incarnation closes its connections.
+            if (m_workers[index]->startTimeMs == startTimeMs) {
+                replyToPoll(index, request, body, untilMs);
+            }
+        });
         return;
     }
     sendReply(request.raw, STATUS_OK, response);
@@ -283,10 +345,13 @@
     worker.fencingToken = token;
     if (request.path == "/-/run-start") {
         const auto [status, response] = startRun(worker, body);
-        sendReply(request.raw, status, response);
+        if (!m_losesStartResponses) {
+            sendReply(request.raw, status, response);
+        }
     } else if (request.path == "/-/hold") {
         if (body.contains("until_ms")) {
-            worker.leaseExpiryMs = std::max(worker.leaseExpiryMs, body.at("until_ms").get<std::uint64_t>());
+            const std::uint64_t maxExpiryMs = workerClockMs(worker) + MAX_LEASE_MS;
+            worker.leaseExpiryMs = std::max(worker.leaseExpiryMs, std::min(body.at("until_ms").get<std::uint64_t>(), maxExpiryMs));
         }
         replyToPoll(index, request, body, wallNowMs() + body.value("wait_ms", std::uint64_t(0)));
     } else {
@@ -306,7 +371,7 @@
             list.push_back({ { "machine", name },
                              { "pool", host.pool },
                              { "state", host.state },
-                             { "zone", "a" },
+                             { "zone", worker.zone },
                              { "labels", { "kind", "rack-1" } },
                              { "capacity", workerCapacity() },
                              { "id", host.state == "up" ? worker.id : "" } });
@@ -346,7 +411,7 @@
         host.pool = body.value("pool", "");
         m_workers[host.workerIndex]->pool = host.pool;
     }
-    restartWorker(host.workerIndex, HOST_ORDER_DURATION_MS, isMove ? "moving" : "upkeep");
+    restartWorker(host.workerIndex, HOST_ORDER_DURATION_MS, isMove ? "moving" : "upkeep", false);
     return { STATUS_OK, json::object() };
 }
 
--- a/standins/jobs/log_store.cpp
+++ b/standins/jobs/log_store.cpp
@@ -19,6 +19,11 @@
 constexpr std::size_t MAX_PAGE_ITEMS = 500;
 constexpr std::size_t LENGTH_PREFIX_BYTES = 4;
 constexpr int OFFSET_BYTES = 8;
+// Every how manieth append is late, and by how much: from one to six seconds.
+constexpr std::uint64_t LATE_APPENDS = 3;
+constexpr std::uint64_t MIN_LATENESS_MS = 1000;
+constexpr std::uint64_t LATENESS_STEP_MS = 700;
+constexpr std::uint64_t MAX_EXTRA_LATENESS_MS = 5000;
 
 void appendBigEndian(std::string &bytes, std::uint64_t number, int byteCount)
 {
@@ -108,72 +113,87 @@
     return true;
 }
 
-std::optional<std::pair<int, json>> log_store::checkAppend(const http_request &request, topic &target)
+std::optional<std::pair<int, json>> log_store::checkAppend(const append_call &call, topic &target)
 {
-    const std::string name = request.queryText("producer");
-    if (!name.empty()) {
-        producer &writer = target.producers[name];
-        const std::uint64_t epoch = request.queryNumber("epoch", 0);
-        const std::uint64_t sequence = request.queryNumber("seq", 0);
-        if (writer.hasAppended && epoch < writer.epoch) {
+    if (!call.producer.empty()) {
+        const producer &writer = target.producers[call.producer];
+        if (writer.hasAppended && call.epoch < writer.epoch) {
             return std::pair(STATUS_CONFLICT, json{ { "reason", "fenced" }, { "epoch", writer.epoch } });
         }
-        if (writer.hasAppended && epoch == writer.epoch) {
+        if (writer.hasAppended && call.epoch == writer.epoch) {
             for (const auto &[number, response] : writer.recentResponses) {
-                if (number == sequence) {
+                if (number == call.sequence) {
                     return std::pair(STATUS_OK, response);
                 }
             }
-            if (sequence != writer.lastSequence + 1) {
+            if (call.sequence != writer.lastSequence + 1) {
                 return std::pair(STATUS_CONFLICT, json{ { "reason", "seq" }, { "expected", writer.lastSequence + 1 } });
             }
         }
     }
-    if (!request.queryText("at").empty() && request.queryNumber("at", 0) != target.endOffset()) {
+    if (call.expectedEnd && *call.expectedEnd != target.endOffset()) {
         return std::pair(STATUS_PRECONDITION_FAILED, json{ { "end", target.endOffset() } });
     }
     return std::nullopt;
 }
 
-void log_store::appendRecords(const http_request &request)
+std::pair<int, json> log_store::apply(const append_call &call)
 {
-    const std::string name = request.queryText("topic");
-    topic &target = m_topics[name];
-    const auto records = parseRecords(request.body);
-    if (!records) {
-        sendReply(request.raw, STATUS_BAD_REQUEST, json::object());
-        return;
-    }
-    if (const auto earlyResponse = checkAppend(request, target)) {
-        sendReply(request.raw, earlyResponse->first, earlyResponse->second);
-        return;
+    topic &target = m_topics[call.topic];
+    if (const auto earlyResponse = checkAppend(call, target)) {
+        return *earlyResponse;
     }
     const std::uint64_t offset = target.endOffset();
-    for (const store_record &record : *records) {
+    for (const store_record &record : call.records) {
         appendRecord(target, record.key, record.value);
     }
     const json response{ { "offset", offset }, { "end", target.endOffset() } };
-    const std::string producerName = request.queryText("producer");
-    if (!producerName.empty()) {
-        producer &writer = target.producers[producerName];
-        const std::uint64_t epoch = request.queryNumber("epoch", 0);
-        if (!writer.hasAppended || epoch > writer.epoch) {
+    if (!call.producer.empty()) {
+        producer &writer = target.producers[call.producer];
+        if (!writer.hasAppended || call.epoch > writer.epoch) {
             writer.recentResponses.clear();
         }
         writer.hasAppended = true;
-        writer.epoch = epoch;
-        writer.lastSequence = request.queryNumber("seq", 0);
+        writer.epoch = call.epoch;
+        writer.lastSequence = call.sequence;
         writer.recentResponses.emplace_back(writer.lastSequence, response);
         if (writer.recentResponses.size() > RESPONSES_KEPT_PER_PRODUCER) {
             writer.recentResponses.pop_front();
         }
     }
-    if (m_fault == store_fault::lose_responses) {
+    completePendingReads(call.topic);
+    return { STATUS_OK, response };
+}
+
+void log_store::appendRecords(const http_request &request)
+{
+    const auto records = parseRecords(request.body);
+    if (!records) {
+        sendReply(request.raw, STATUS_BAD_REQUEST, json::object());
+        return;
+    }
+    append_call call{ request.queryText("topic"),
+                      request.queryText("producer"),
+                      request.queryNumber("epoch", 0),
+                      request.queryNumber("seq", 0),
+                      std::nullopt,
+                      *records };
+    if (!request.queryText("at").empty()) {
+        call.expectedEnd = request.queryNumber("at", 0);
+    }
+    if (m_fault == store_fault::late_writes && ++m_appends % LATE_APPENDS == 0) {
+        m_server.runAfter(MIN_LATENESS_MS + m_appends * LATENESS_STEP_MS % MAX_EXTRA_LATENESS_MS, [this, call] { apply(call); });
+        closeWithoutReply(request.raw);
+        return;
+    }
+    const std::uint64_t endBefore = m_topics[call.topic].endOffset();
+    const auto [status, response] = apply(call);
+    const bool applied = m_topics[call.topic].endOffset() > endBefore;
+    if (m_fault == store_fault::lose_responses && applied) {
         closeWithoutReply(request.raw);
     } else {
-        sendReply(request.raw, STATUS_OK, response);
+        sendReply(request.raw, status, response);
     }
-    completePendingReads(name);
 }
 
 void log_store::readRecords(const http_request &request)
--- a/standins/jobs/log_store.h
+++ b/standins/jobs/log_store.h
@@ -15,8 +15,9 @@
 
 namespace standin {
 
-// reject_requests: status 503; no_response: requests are ignored; lose_responses: appends take effect, but get no response.
-enum class store_fault { none, reject_requests, no_response, lose_responses };
+// reject_requests: status 503; no_response: requests are ignored; lose_responses: appends take effect, but get no response;
+// late_writes: every third append gets no response and takes effect seconds later, if its condition still holds.
+enum class store_fault { none, reject_requests, no_response, lose_responses, late_writes };
 
 struct store_record
 {
@@ -74,10 +75,22 @@
         std::uint64_t from = 0;
     };
 
+    // What an append asks for, apart from the connection on which it came.
+    struct append_call
+    {
+        std::string topic;
+        std::string producer;
+        std::uint64_t epoch = 0;
+        std::uint64_t sequence = 0;
+        std::optional<std::uint64_t> expectedEnd;
+        std::vector<store_record> records;
+    };
     void appendRecords(const http_request &request);
+    // Applies the append if its condition holds, and returns status and body of the response.
+    std::pair<int, nlohmann::json> apply(const append_call &call);
     // Returns status and body of the response if the append must not be applied: it was applied before, its producer is fenced,
     // its sequence number is out of order, or its expected offset is wrong.
-    std::optional<std::pair<int, nlohmann::json>> checkAppend(const http_request &request, topic &target);
+    std::optional<std::pair<int, nlohmann::json>> checkAppend(const append_call &call, topic &target);
     void readRecords(const http_request &request);
     void readLatest(const http_request &request);
     void replyToRead(evhttp_request *raw, const topic &source, std::uint64_t from);
@@ -91,6 +104,7 @@
     std::uint64_t m_nextReadId = 1;
     store_fault m_fault = store_fault::none;
     std::uint64_t m_extraDelayMs = 0;
+    std::uint64_t m_appends = 0;
 };
 
 } // namespace standin
--- a/standins/jobs/main.cpp
+++ b/standins/jobs/main.cpp
@@ -2,8 +2,8 @@
 //
 // The first line of output is the address. In addition to the platform's API, it serves for demos and soak tests:
 //   POST /operator/KEY      stores the body as the operator's entry with that key
-//   POST /faults            {"store": "none"|"rejects"|"silent"|"loses_answers", "slow_ms": N, "late_starts_ms": N,
-//                            "crash_worker": N, "down_ms": N, "compact": TOPIC}
+//   POST /faults            {"store": "none"|"rejects"|"silent"|"loses_answers"|"late", "slow_ms": N, "late_starts_ms": N,
+//                            "lose_starts": B, "cut_zone": ZONE, "crash_worker": N, "down_ms": N, "keep_id": B, "compact": TOPIC}
 //   GET  /report            violations of the run guarantees, number of starts, completed and running tasks
 #include "fleet_simulator.h"
 
@@ -19,11 +19,13 @@
 const char USAGE[] = R"(standin_jobs - stand-in for a platform that runs jobs, for demos and soak tests.
 
 Usage:
-  standin_jobs [--pool=NAME:COUNT]...
+  standin_jobs [--pool=NAME:COUNT]... [--zones=N] [--events=FILE]
   standin_jobs (-h | --help)
 
 Options:
   --pool=NAME:COUNT  Initial number of hosts of a pool; may be repeated.
+  --zones=N          Number of zones over which the hosts are spread [default: 1].
+  --events=FILE      Writes each start, end, acknowledged completion and crash to the file.
 )";
 
 standin::store_fault parseStoreFault(const std::string &name)
@@ -34,6 +36,9 @@
     if (name == "silent") {
         return standin::store_fault::no_response;
     }
+    if (name == "late") {
+        return standin::store_fault::late_writes;
+    }
     return name == "loses_answers" ? standin::store_fault::lose_responses : standin::store_fault::none;
 }
 
@@ -51,10 +56,15 @@
     {
         return m_server.bind("127.0.0.1", 0);
     }
-    void addPool(const std::string &poolArgument)
+    void logEventsTo(const std::string &path)
+    {
+        m_fleet.logEventsTo(path);
+    }
+    void addPool(const std::string &poolArgument, int zones)
     {
         const std::size_t colon = poolArgument.find(':');
-        m_fleet.addHosts(poolArgument.substr(0, colon), colon == std::string::npos ? 1 : std::atoi(poolArgument.c_str() + colon + 1));
+        m_fleet.addHosts(poolArgument.substr(0, colon), colon == std::string::npos ? 1 : std::atoi(poolArgument.c_str() + colon + 1),
+                         zones);
     }
 
 private:
@@ -81,8 +91,11 @@
     {
         m_store.setFault(parseStoreFault(body.value("store", "none")), body.value("slow_ms", std::uint64_t(0)));
         m_fleet.setStartDelay(body.value("late_starts_ms", std::uint64_t(0)));
+        m_fleet.loseStartResponses(body.value("lose_starts", false));
+        m_fleet.cutZone(body.value("cut_zone", ""));
         if (body.contains("crash_worker")) {
-            m_fleet.crashWorker(body.at("crash_worker").get<std::size_t>(), body.value("down_ms", std::uint64_t(0)));
+            m_fleet.crashWorker(body.at("crash_worker").get<std::size_t>(), body.value("down_ms", std::uint64_t(0)),
+                                body.value("keep_id", false));
         }
         if (body.contains("compact")) {
             m_store.compact(body.at("compact").get<std::string>());
@@ -101,8 +114,11 @@
     const auto arguments = docopt::docopt(USAGE, { argv + 1, argv + argc });
     event_base *base = event_base_new();
     job_platform platform(base);
+    if (arguments.at("--events")) {
+        platform.logEventsTo(arguments.at("--events").asString());
+    }
     for (const std::string &pool : arguments.at("--pool").asStringList()) {
-        platform.addPool(pool);
+        platform.addPool(pool, static_cast<int>(arguments.at("--zones").asLong()));
     }
     fmt::print("{}\n", platform.bind());
     std::fflush(stdout);
