--- a/packages/manager/test/relay_test.cpp
+++ b/packages/manager/test/relay_test.cpp
@@ -131,6 +131,18 @@
     cr_assert(fixture.outcomes[0] == order_status::no_room);
 }
 
+// The owner learns of a restart from the answer to a start, also if a helper sent it.
+Test(order_relay, returnsWhichIncarnationAnsweredAStart)
+{
+    order_result answer;
+    answer.status = order_status::other_incarnation;
+    answer.startTimeMs = 1800000000001;
+    const std::optional<order_result> returned = orderResultOf(toMessage(7, answer));
+    cr_assert(returned);
+    cr_assert_eq(returned->status, order_status::other_incarnation);
+    cr_assert_eq(returned->startTimeMs, answer.startTimeMs);
+}
+
 Test(order_relay, returnsRunsAndEndsOfPolls)
 {
     relay_fixture fixture;
