--- a/packages/manager/src/job_api_handler.cpp
+++ b/packages/manager/src/job_api_handler.cpp
@@ -106,13 +106,17 @@
     m_manager.submit(
         *parsed.request,
         [this, id, queue = queue.name, team, reply](submit_result end) {
+            if (end == submit_result::too_large) {
+                const std::string reason = "the job has too many tasks to be stored in one record";
+                m_log.write("refused", { { "job", id }, { "status", std::to_string(STATUS_TOO_LARGE) }, { "reason", reason } });
+                reply({ STATUS_TOO_LARGE, m_codec.errorBody(reason) });
+                return;
+            }
             m_log.write(
                 "submit",
-                { { "job", id }, { "queue", queue }, { "team", team }, { "accepted", end == submit_result::accepted ? "yes" : end == submit_result::too_large ? "too-large" : "no" } });
+                { { "job", id }, { "queue", queue }, { "team", team }, { "accepted", end == submit_result::accepted ? "yes" : "no" } });
             if (end == submit_result::accepted) {
                 reply({ STATUS_OK, "{}" });
-            } else if (end == submit_result::too_large) {
-                reply({ STATUS_TOO_LARGE, m_codec.errorBody("the job has too many tasks to be stored in one record") });
             } else {
                 reply({ STATUS_UNAVAILABLE, m_codec.errorBody("not taken, try again"), "application/json", RETRY_AFTER_S });
             }
