--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -331,7 +331,7 @@
         fails = ALWAYS_FAILS_COUNT if job.always_fails else self.random.choice([0, 0, 0, 1])
         longest = 900
         if self.profile == "platform":
-            longest = 300 if any(step["count"] > 100 for step in steps) else 8000 if len(steps) == 1 else 1500
+            longest = 300 if any(step["count"] > 100 for step in steps) else 5000 if len(steps) == 1 else 1500
         spec = f"ms={self.random.randint(50, longest)} fail={fails}"
         body = json.dumps({"spec": spec, "steps": steps}).encode()
         for _ in range(4):
