--- a/packages/manager/test/ownership_test.cpp
+++ b/packages/manager/test/ownership_test.cpp
@@ -487,6 +487,80 @@
     cr_assert_eq(fleet.platform.doneRuns(), 6);
 }
 
+namespace {
+
+struct unbegun_row
+{
+    const char *name;
+    void (*prevent)(fleet_fixture &fleet);
+    void (*allow)(fleet_fixture &fleet);
+};
+
+void forBothWorkers(fleet_fixture &fleet, void (*change)(fake_platform &platform, const std::string &worker))
+{
+    for (const char *id : { "w1", "worker-2" }) {
+        change(fleet.platform, id);
+    }
+}
+
+const unbegun_row UNBEGUN[] = {
+    { "the workers have no room",
+      [](fleet_fixture &fleet) {
+          forBothWorkers(fleet, [](fake_platform &platform, const std::string &worker) { platform.workerNamed(worker).hasNoRoom = true; });
+      },
+      [](fleet_fixture &fleet) {
+          forBothWorkers(fleet, [](fake_platform &platform, const std::string &worker) { platform.workerNamed(worker).hasNoRoom = false; });
+      } },
+    { "the workers do not answer",
+      [](fleet_fixture &fleet) {
+          fleet.platform.linksOf("entry-1").unreachableWorkers = { "w1", "worker-2" };
+      },
+      [](fleet_fixture &fleet) {
+          fleet.platform.linksOf("entry-1").unreachableWorkers.clear();
+      } },
+    { "the workers have restarted, which no report shows yet",
+      [](fleet_fixture &fleet) {
+          forBothWorkers(fleet, [](fake_platform &platform, const std::string &worker) { platform.restartWorker(worker, seconds(60)); });
+      },
+      [](fleet_fixture &fleet) {
+          forBothWorkers(fleet, [](fake_platform &platform, const std::string &worker) { platform.listWorker(worker); });
+      } },
+};
+
+} // namespace
+
+ParameterizedTestParameters(ownership, jobWhoseTasksDoNotBeginCountsAsPending)
+{
+    return rowsOf(UNBEGUN);
+}
+
+// Guards against MIXED of review/5 where starts fail otherwise than by a refusal.
+ParameterizedTest(std::size_t *row, ownership, jobWhoseTasksDoNotBeginCountsAsPending)
+{
+    const unbegun_row &testCase = UNBEGUN[*row];
+    fleet_fixture fleet;
+    fleet.begin("entry-1", 11);
+    fleet.platform.advance(milliseconds(500));
+    const job_manager &manager = *fleet.sessions.at("entry-1")->manager();
+    testCase.prevent(fleet);
+    for (const char *job : { "00000000000000a1", "00000000000000a2", "00000000000000a3" }) {
+        job_request &request = fleet.platform.requests[job];
+        request.queue = "q";
+        request.steps.emplace_back();
+        request.steps[0].count = 2;
+        request.steps[0].estimated = milliseconds(200);
+        cr_assert_eq(fleet.call("entry-1", "POST", QUEUE_PATH + job, std::string("job:") + job), 200);
+    }
+    for (int i = 0; i < 50; ++i) {
+        fleet.platform.advance(milliseconds(100));
+        cr_assert_eq(manager.pendingJobCount("q"), 3, "%s: %d pending", testCase.name, manager.pendingJobCount("q"));
+    }
+    testCase.allow(fleet);
+    fleet.platform.advance(seconds(8));
+    cr_assert_eq(manager.pendingJobCount("q"), 0, "%s", testCase.name);
+    cr_assert_eq(fleet.platform.doneRuns(), 6, "%s: %d", testCase.name, fleet.platform.doneRuns());
+}
+
 // A former owner that is partitioned from the store may still reach a worker that its successor cannot reach. The successor
 // must not start that worker's tasks elsewhere while they still run.
 Test(ownership, taskDoesNotRunTwiceWhenFormerOwnerAndWorkerArePartitioned)
