--- a/packages/jobs/test/gang_test.cpp
+++ b/packages/jobs/test/gang_test.cpp
@@ -535,3 +535,32 @@
     }
     cr_assert_eq(fixture.countAssigned("0000000000000001"), 4);
 }
+
+// Guards against a crash of the owner, and of each that takes over: the last member of a gang ends as failed after its gang is done, in an
+// occurrence that is forgotten with that end.
+Test(gang, lateFailureInAnOccurrenceThatHasEndedIsCountedWithoutACrash)
+{
+    gang_fixture fixture;
+    job_request request = fixture.entry().request();
+    request.id = "00000000000000b2";
+    request.repeatCount = 3;
+    request.firstRun = WALL;
+    request.interval = milliseconds(1);
+    fixture.model.add(job::accept(request, WALL)).addDueOccurrences(WALL + 1, manager_bounds().maxRecordBytes);
+    job &recurring = *fixture.model.find(request.id);
+    std::uint64_t endNumber = 0;
+    for (int index = 0; index < MEMBERS; ++index) {
+        const task_key key{ request.id, 0, 0, index };
+        fixture.model.place(key, *fixture.model.workers().find(reportOf(index).id), NOW, 1);
+    }
+    for (int index = 0; index < MEMBERS; ++index) {
+        const task_key key{ request.id, 0, 0, index };
+        const run_outcome outcome = index == 0 ? run_outcome::done : run_outcome::failed;
+        worker &target = *fixture.model.workers().find(reportOf(index).id);
+        cr_assert(fixture.model.applyEnd({ ++endNumber, key, 1, outcome, {} }, target.report.id, WALL));
+        if (outcome == run_outcome::failed) {
+            fixture.model.recordFailure(key, target, NOW);
+        }
+    }
+    cr_assert_eq(recurring.occurrences().size(), 1U);
+}
