Soak: a job that was shown as completed has all its tasks done, in both profiles

The profile "platform" did not check it, since asking for all tasks at each answer would load the stand-in; it is checked once at the end now.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -533,6 +533,10 @@
     async def check_guarantees(self):
         report = await self.report()
         self.problems += report["violations"] if self.profile == "processes" else runs_that_overlap(self.events)
+        done = set(report["done"])
+        for job in self.jobs:
+            if job.completed and not done.issuperset(job.tasks):
+                self.problems.append(f"{job.path} was reported as completed, but a task of it is not done")
         running = {task.split(".")[0] for task in report["running"]}
         for job in self.jobs:
             identity = job.path.split("/")[-1]
