--- a/standins/jobs/log_store.cpp
+++ b/standins/jobs/log_store.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t MAX_PAGE_ITEMS = 500;
 constexpr std::size_t LENGTH_PREFIX_BYTES = 4;
 constexpr int OFFSET_BYTES = 8;
-// Every how manieth append is late, and by how much: from one to six seconds.
+// One append in three is late, by one to six seconds.
 constexpr std::uint64_t LATE_APPENDS = 3;
 constexpr std::uint64_t MIN_LATENESS_MS = 1000;
 constexpr std::uint64_t LATENESS_STEP_MS = 700;
