Blame no worker for a task that is forgotten because its occurrence has ended

Callers would have seen: the owner crashes, and so does each owner that takes over, because the end that does it is listed again. Cause: fleet_model::recordFailure looked for a task whose occurrence markFinishedOccurrences() had just forgotten: a member of a recurring gang ends as failed after its gang is done, and its end is the last of an occurrence before the latest. Ruled out: the same in release(), applyEnd(), setUnplaced() and isAtFullSpeed(), which are reached with an assigned task only, and an occurrence with an assigned task is not forgotten. Change: no blame if the task is gone. Its gang is done, so nothing depends on it. Before: gang lateFailureInAnOccurrenceThatHasEndedIsCountedWithoutACrash crashed (known red).

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -124,7 +124,8 @@
     bool isAtFullSpeed(const task_key &key);
     void endJob(job &entry, job_state state, wall_ms wall);
     // Blames the worker for a failed run, unless nothing else fails there and the task has failed on other workers as well. The task is the
-    // cause then, and no worker stays blamed for it. Returns true when the worker becomes suspected to fail all runs.
+    // cause then, and no worker stays blamed for it. Nor is any blamed for a task that is forgotten because its occurrence has ended. Returns
+    // true when the worker becomes suspected to fail all runs.
     bool recordFailure(const task_key &key, worker &failed, instant now);
     // Completes the job if it has not ended and all its tasks are done.
     void completeIfDone(job &entry, wall_ms wall);
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -280,7 +280,13 @@
 
 bool fleet_model::recordFailure(const task_key &key, worker &failed, instant now)
 {
-    task_progress &task = *find(key.job)->task(key);
+    job *owningJob = find(key.job);
+    task_progress *found = owningJob == nullptr ? nullptr : owningJob->task(key);
+    if (found == nullptr) {
+        // The end was the last of its occurrence, which is forgotten. Its gang is done, so the run was of no use any more.
+        return false;
+    }
+    task_progress &task = *found;
     const bool wasSuspected = failed.isSuspectedToFailRuns();
     const bool failedHereOnly = task.failedOn.empty() || task.failedOn == std::set<std::string>{ failed.report.id };
     const bool worksOtherwise = failed.failedTasks.empty();
