Signals of an owner that is out of processor: lag of the event loop, processor time a second, waits inside the owner

Callers of the large fleet get answers too late, and nothing told too little processor from too few hosts or a slow store. Ruled out: a share of the loop's waiting time, which this version of libevent does not show; the processor time of the process, with ZeroMQ's thread, is what the host is short of. No decision changes.

--- a/packages/entry/include/jujubespool/entry/event_loop.h
+++ b/packages/entry/include/jujubespool/entry/event_loop.h
@@ -32,6 +32,8 @@
     instant now() const override;
     wall_ms wallNow() const override;
     std::uint64_t randomNumber() override;
+    // Processor time that all threads of this process have used.
+    duration processorTime() const;
 
     void repeat(milliseconds interval, std::function<void()> callback) override;
     void after(milliseconds delay, std::function<void()> callback) override;
--- a/packages/entry/src/event_loop.cpp
+++ b/packages/entry/src/event_loop.cpp
@@ -39,6 +39,13 @@
     return instant(duration_cast<duration>(seconds(time.tv_sec)) + duration_cast<duration>(std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+duration event_loop::processorTime() const
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return duration_cast<duration>(seconds(time.tv_sec)) + duration_cast<duration>(std::chrono::nanoseconds(time.tv_nsec));
+}
+
 wall_ms event_loop::wallNow() const
 {
     return static_cast<wall_ms>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -45,6 +45,15 @@
 // How long a peer's confirmation of the ownership is valid, from the time at which the owner sent what the peer answers.
 constexpr milliseconds PEER_CONFIRMATION_VALIDITY{ 1200 };
 
+// How much the owner's decisions have examined so far. What a start costs follows from it.
+struct owner_work
+{
+    std::uint64_t schedulingPasses = 0;
+    std::uint64_t tasksPlaced = 0;
+    std::uint64_t workersExamined = 0;
+    std::uint64_t jobsExamined = 0;
+};
+
 class fleet_model
 {
 public:
@@ -75,6 +84,25 @@
     // Returns the ledger entries of queues that changed since the last call.
     std::vector<ledger_entry> takeChangedQueues();
 
+    const owner_work &work() const
+    {
+        return m_work;
+    }
+    // Whoever examines workers or jobs one by one counts them here.
+    void countWorkersExamined(std::size_t number) const
+    {
+        m_work.workersExamined += number;
+    }
+    void countJobsExamined(std::size_t number) const
+    {
+        m_work.jobsExamined += number;
+    }
+    void countSchedulingPass(std::size_t placed) const
+    {
+        ++m_work.schedulingPasses;
+        m_work.tasksPlaced += placed;
+    }
+
     job *find(const std::string &id);
     job &add(job entry);
     void remove(const std::string &id);
@@ -124,8 +152,8 @@
     bool isAtFullSpeed(const task_key &key);
     void endJob(job &entry, job_state state, wall_ms wall);
     // Blames the worker for a failed run, unless nothing else fails there and the task has failed on other workers as well. The task is the
-    // cause then, and no worker stays blamed for it. Nor is any blamed for a task that is forgotten because its occurrence has ended. Returns
-    // true when the worker becomes suspected to fail all runs.
+    // cause then, and no worker stays blamed for it. Nor is any blamed for a task that is forgotten because its occurrence has ended.
+    // Returns true when the worker becomes suspected to fail all runs.
     bool recordFailure(const task_key &key, worker &failed, instant now);
     // Completes the job if it has not ended and all its tasks are done.
     void completeIfDone(job &entry, wall_ms wall);
@@ -151,6 +179,7 @@
     std::map<std::string, job *> m_activeJobs;
     std::set<std::string> m_changed;
     std::vector<std::string> m_ended;
+    mutable owner_work m_work;
     worker_registry m_workers;
     team_usage_tracker m_usage;
 };
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -111,6 +111,8 @@
     wall_ms wallNow() const override;
     void checkTakeOverKnown(instant now);
     void processChanges(instant now);
+    // The next pass places what has become possible with a change at this time.
+    void requestSchedule(instant now);
     void schedule(instant now);
     // Sends the start orders of placements that are recorded.
     void sendStarts(const std::vector<placement> &placements, instant now);
@@ -141,7 +143,8 @@
     host_maintenance_controller m_hostMaintenance;
     pool_rebalancer m_poolRebalancer;
     wait_reporter m_waitReporter;
-    bool m_scheduleNeeded = false;
+    // When a change called for scheduling first, since the last pass; empty if none has.
+    std::optional<instant> m_scheduleNeededSince;
     bool m_resigned = false;
     bool m_ownershipLost = false;
     wall_ms m_wall = 0;
--- a/packages/jobs/src/host_demand.cpp
+++ b/packages/jobs/src/host_demand.cpp
@@ -179,6 +179,7 @@
 std::vector<pool_step> waiting_step_finder::find(const fleet_model &model, const std::set<std::string> &poolsWithFreeCpu, instant now)
 {
     search state;
+    model.countJobsExamined(model.activeJobs().size());
     for (const auto &[id, entry] : model.activeJobs()) {
         const queue_config *queue = model.queueOf(*entry);
         const bool waits = queue != nullptr && entry->demand().hasWaitingTasks;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -85,7 +85,7 @@
                   { "live_jobs", std::to_string(m_model.activeJobs().size()) },
                   { "workers", std::to_string(m_model.workers().all().size()) } });
     m_hostMaintenance.onTakeOver(now);
-    m_scheduleNeeded = true;
+    requestSchedule(now);
     processChanges(now);
 }
 
@@ -147,7 +147,7 @@
 void job_manager::setConfig(std::shared_ptr<const fleet_config> config, instant now)
 {
     m_model.setConfig(std::move(config));
-    m_scheduleNeeded = true;
+    requestSchedule(now);
     processChanges(now);
 }
 
@@ -165,7 +165,7 @@
     }
     m_runs.onReport(report, now);
     if (isNew || stateChanged) {
-        m_scheduleNeeded = true;
+        requestSchedule(now);
         processChanges(now);
     }
 }
@@ -203,10 +203,15 @@
         job &accepted = m_model.add(job::accept(request, wall));
         accepted.addDueOccurrences(wall, maxImageBytes());
         m_model.markChanged(request.id);
-        m_scheduleNeeded = true;
+        requestSchedule(now);
     }
     processChanges(now);
-    m_writer.whenDurable([done](instant) { done(submit_result::accepted); }, now);
+    m_writer.whenDurable(
+        [this, done, receivedAt = now](instant then) {
+            m_log.observe("accept_wait", "", then - receivedAt);
+            done(submit_result::accepted);
+        },
+        now);
 }
 
 void job_manager::cancel(const std::string &id, const std::function<void(cancel_result result)> &done, instant now, wall_ms wall)
@@ -247,6 +252,7 @@
 
 int job_manager::pendingJobCount(const std::string &queue) const
 {
+    m_model.countJobsExamined(m_model.activeJobs().size());
     return static_cast<int>(std::count_if(m_model.activeJobs().begin(), m_model.activeJobs().end(), [&](const auto &entry) {
         const job &candidate = *entry.second;
         return candidate.request().queue == queue && !candidate.hasStarted();
@@ -278,10 +284,11 @@
         return;
     }
     checkTakeOverKnown(now);
+    m_model.countJobsExamined(m_model.activeJobs().size());
     for (const auto &[id, active] : m_model.activeJobs()) {
         if (active->isRecurring() && active->addDueOccurrences(wall, maxImageBytes())) {
             m_model.markChanged(id);
-            m_scheduleNeeded = true;
+            requestSchedule(now);
         }
     }
     if (!m_resigned) {
@@ -295,7 +302,7 @@
     if (now - m_lastExpiryCheck > EXPIRY_CHECK_INTERVAL) {
         m_lastExpiryCheck = now;
         // No event reports that the avoid time of a worker has passed, so scheduling is repeated at intervals.
-        m_scheduleNeeded = true;
+        requestSchedule(now);
         removeExpiredJobs(wall);
         m_tickets.prune([this](const std::string &step) { return isStepUnfinished(step); }, m_model.workers());
     }
@@ -306,6 +313,7 @@
 void job_manager::removeExpiredJobs(wall_ms wall)
 {
     std::vector<std::string> expired;
+    m_model.countJobsExamined(m_model.jobs().size());
     const auto retentionMs = static_cast<wall_ms>(duration_cast<milliseconds>(m_model.bounds().statusRetention).count());
     for (const auto &[id, stored] : m_model.jobs()) {
         if (stored.ended() && stored.endedAt() + retentionMs < wall && !stored.hasAssigned()) {
@@ -320,10 +328,17 @@
 
 void job_manager::onProgress(instant now)
 {
-    m_scheduleNeeded = true;
+    requestSchedule(now);
     processChanges(now);
 }
 
+void job_manager::requestSchedule(instant now)
+{
+    if (!m_scheduleNeededSince) {
+        m_scheduleNeededSince = now;
+    }
+}
+
 void job_manager::whenDurable(std::function<void(instant now)> call, instant now)
 {
     writeChanged();
@@ -336,7 +351,7 @@
         return;
     }
     // Starts must be recorded before they are sent, so scheduling while an append is in flight would gain nothing.
-    if (m_scheduleNeeded && !m_resigned && !m_writer.appending()) {
+    if (m_scheduleNeededSince && !m_resigned && !m_writer.appending()) {
         schedule(now);
     }
     writeChanged();
@@ -345,7 +360,8 @@
 
 void job_manager::schedule(instant now)
 {
-    m_scheduleNeeded = false;
+    m_log.observe("pass_wait", "", now - *m_scheduleNeededSince);
+    m_scheduleNeededSince.reset();
     if (!m_model.configured()) {
         return;
     }
@@ -363,7 +379,12 @@
         }
     }
     writeChanged();
-    m_writer.whenDurable([this, placements = result.placements](instant then) { sendStarts(placements, then); }, now);
+    m_writer.whenDurable(
+        [this, placements = result.placements, placedAt = now](instant then) {
+            m_log.observe("record_wait", "", then - placedAt);
+            sendStarts(placements, then);
+        },
+        now);
 }
 
 void job_manager::sendStarts(const std::vector<placement> &placements, instant now)
--- a/packages/jobs/src/pool_rebalancer.cpp
+++ b/packages/jobs/src/pool_rebalancer.cpp
@@ -49,6 +49,7 @@
     std::map<std::string, pool_demand> demand;
     std::map<std::string, std::int64_t> waitingByTeam;
     std::map<std::string, std::int64_t> offeredByTeam;
+    model.countJobsExamined(model.activeJobs().size());
     for (const auto &[id, entry] : model.activeJobs()) {
         const job &activeJob = *entry;
         const queue_config *queue = model.queueOf(activeJob);
@@ -116,6 +117,7 @@
 
 void pool_rebalancer::addLoad(std::map<std::string, pool_snapshot> &pools, wall_ms wall) const
 {
+    m_model.countWorkersExamined(m_model.workers().all().size());
     for (const auto &[id, target] : m_model.workers().all()) {
         const auto found = pools.find(target.report.pool);
         if (found != pools.end()) {
@@ -136,6 +138,7 @@
 
 void pool_rebalancer::addHosts(std::map<std::string, pool_snapshot> &pools, instant now) const
 {
+    m_model.countWorkersExamined(m_hosts.hosts().size());
     for (const auto &[name, host] : m_hosts.hosts()) {
         const auto found = pools.find(host.pool);
         if (found == pools.end() || host.state == host_condition::down || m_hosts.hasPendingOrder(name)) {
@@ -251,6 +254,7 @@
 
 void pool_rebalancer::markLeavingWorkers(const std::vector<std::string> &hosts)
 {
+    m_model.countWorkersExamined(m_model.workers().all().size());
     for (auto &[id, target] : m_model.workers().all()) {
         target.leavingPool = false;
     }
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -78,6 +78,7 @@
 
 void run_supervisor::tick(instant now)
 {
+    m_model.countWorkersExamined(m_model.workers().all().size());
     for (auto &[id, target] : m_model.workers().all()) {
         if (!target.failedTasks.empty() && now - target.lastFailureAt > BLAME_DURATION) {
             target.failedTasks.clear();
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -27,6 +27,7 @@
         , m_now(now)
         , m_result(result)
     {
+        model.countWorkersExamined(model.workers().all().size());
         for (auto &[id, target] : model.workers().all()) {
             if (acceptsNewTasks(target, now)) {
                 pool_workers &pool = m_pools[target.report.pool];
@@ -175,6 +176,7 @@
         std::vector<worker *> unasked;
         std::int64_t slotsWithTicket = 0;
         std::int64_t slotsUnasked = 0;
+        m_model.countWorkersExamined(pool.workers.size());
         for (worker *target : eligibleWorkers(pool.workers, request, m_now)) {
             if (m_tickets.ticketFor(text, *target, m_now) != nullptr) {
                 slotsWithTicket += countFreeSlots(*target, request);
@@ -274,6 +276,7 @@
         if (pool.isKnownNotToFit(step)) {
             return false;
         }
+        m_model.countWorkersExamined(pool.workers.size());
         worker *target = chooseWorker(pool.workers, request, m_now);
         if (target == nullptr) {
             if (needsOnlyCapacity(step, queue) && (request.mayUseLeavingWorkers || !pool.hasLeavingWorkers)) {
@@ -300,6 +303,7 @@
             return;
         }
         pool_workers &pool = m_pools[queue.pool];
+        m_model.countWorkersExamined(pool.workers.size());
         const std::optional<std::string> rack = rackForGang(pool.workers, requestFor(current, queue, waiting.front()), m_now);
         if (!rack) {
             if (needsOnlyCapacity(step, queue)) {
@@ -365,6 +369,8 @@
 public:
     explicit share_tracker(const fleet_model &model)
     {
+        model.countWorkersExamined(model.workers().all().size());
+        model.countJobsExamined(model.activeJobs().size());
         std::unordered_map<std::string, std::int64_t> capacity;
         for (const auto &[id, target] : model.workers().all()) {
             capacity[target.report.pool] += target.listed ? target.report.capacity.cpuMillis : 0;
@@ -414,6 +420,7 @@
 {
     schedule_result result;
     std::vector<ranked_job> order;
+    model.countJobsExamined(model.activeJobs().size());
     for (const auto &[id, current] : model.activeJobs()) {
         const queue_config *queue = current->demand().hasWaitingTasks ? model.queueOf(*current) : nullptr;
         if (queue != nullptr) {
@@ -421,6 +428,7 @@
         }
     }
     if (order.empty()) {
+        model.countSchedulingPass(0);
         return result;
     }
     const auto byRank = [](const ranked_job &left, const ranked_job &right) {
@@ -437,6 +445,7 @@
         pass.schedule(*ranked.current, *ranked.queue);
     }
     pass.finish();
+    model.countSchedulingPass(result.placements.size());
     return result;
 }
 
--- a/packages/jobs/src/wait_reporter.cpp
+++ b/packages/jobs/src/wait_reporter.cpp
@@ -65,6 +65,7 @@
 
 int wait_reporter::examine(const job &current, instant now, wall_ms wall)
 {
+    m_model.countJobsExamined(1);
     const std::string &id = current.request().id;
     const auto known = m_waiting.find(id);
     std::map<std::pair<int, int>, held_back_task> steps;
--- a/packages/manager/include/jujubespool/manager/event_logger.h
+++ b/packages/manager/include/jujubespool/manager/event_logger.h
@@ -21,6 +21,8 @@
     void write(std::string_view event, std::initializer_list<field> fields) override;
     void count(std::string_view counter, std::string_view label) override;
     void observe(std::string_view event, const std::string &team, duration time) override;
+    // Longest duration that was observed of the event since the last call; 0 if there was none.
+    duration takeLongest(std::string_view event);
     // Starts a new interval of the rate limit after each second, and flushes buffered lines without blocking.
     void tick(instant now);
 
@@ -29,6 +31,7 @@
     bool takeReserved(std::string_view event);
 
     metrics_registry &m_metrics;
+    std::map<std::string, duration, std::less<>> m_longest;
     instant m_secondStart;
     int m_linesThisSecond = 0;
     // Number of lines beyond the maximum in this second, by event.
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -9,6 +9,7 @@
 #include <jujubespool/jobs/owner_election.h>
 #include <jujubespool/manager/call_router.h>
 #include <jujubespool/manager/event_logger.h>
+#include <jujubespool/manager/load_monitor.h>
 #include <jujubespool/manager/member_registration.h>
 #include <jujubespool/manager/order_relay.h>
 #include <jujubespool/manager/owner_record_reader.h>
@@ -87,6 +88,7 @@
     platform_clients m_clients;
     event_logger &m_log;
     metrics_registry &m_metrics;
+    load_monitor m_load;
     event_loop_timers m_timers;
     process_identity m_identity;
     zmq_peer_transport m_link;
--- a/packages/manager/src/event_logger.cpp
+++ b/packages/manager/src/event_logger.cpp
@@ -1,6 +1,8 @@
 #include <jujubespool/manager/event_logger.h>
 
+#include <algorithm>
 #include <jujubespool/entry/logger.h>
+#include <utility>
 
 namespace jujubespool {
 
@@ -45,6 +47,15 @@
 void event_logger::observe(std::string_view event, const std::string &team, duration time)
 {
     m_metrics.observeDuration(std::string(event), team, time);
+    const auto known = m_longest.find(event);
+    duration &longest = known == m_longest.end() ? m_longest[std::string(event)] : known->second;
+    longest = std::max(longest, time);
+}
+
+duration event_logger::takeLongest(std::string_view event)
+{
+    const auto known = m_longest.find(event);
+    return known == m_longest.end() ? duration(0) : std::exchange(known->second, duration(0));
 }
 
 void event_logger::tick(instant now)
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds HANDOVER_REQUEST_DELAY{ 1500 };
 // A restarted process has forgotten the owner that it knew. It confirms none until the heartbeats of the latest one had time to arrive.
 constexpr milliseconds MIN_AGE_TO_CONFIRM{ 3000 };
+constexpr double PERCENT = 100;
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
 
@@ -45,6 +46,7 @@
     , m_clients(clients)
     , m_log(log)
     , m_metrics(processMetrics)
+    , m_load(log, processMetrics, TICK_INTERVAL, settings.cpuSharePercent / PERCENT)
     , m_timers(loop)
     , m_identity{ settings.node, loop.randomNumber() }
     , m_link(loop.base())
@@ -151,6 +153,7 @@
         runElection(now);
     }
     m_router.tick(now);
+    m_load.tick(now, m_loop.processorTime(), owns() ? &m_session->manager()->model().work() : nullptr);
     m_log.tick(now);
     if (m_stopping) {
         completeStop(now);
