Join the names of load bounds without a temporary string

The release build, which deploy/system.toml uses and the tests don't, stopped at a warning of g++ 12 in (-Werror=restrict on the concatenation of a literal and a temporary string). No change of behaviour.

--- a/packages/manager/src/load_monitor.cpp
+++ b/packages/manager/src/load_monitor.cpp
@@ -77,7 +77,8 @@
     std::string passed;
     const auto addIf = [&passed](bool over, load_signal signal) {
         if (over) {
-            passed += (passed.empty() ? "" : ",") + std::string(nameOf(signal));
+            passed += passed.empty() ? "" : ",";
+            passed += nameOf(signal);
         }
     };
     addIf(longestLag > MAX_LOOP_LAG, load_signal::loop_lag);
