Choose a worker by its free capacity without a look at each worker of the pool

Callers of the large fleet get answers too late in the peaks: the owner's start cost grew with the workers of a pool, and each pass looked at all workers of the fleet twice, for the pools and for the shares of the teams.

--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 
 namespace jujubespool {
 
@@ -172,6 +173,10 @@
     worker *find(const std::string &id);
     // Null if that is not the latest known incarnation.
     worker *find(const worker_incarnation &incarnation);
+    // The workers whose latest report names the pool, in the order of their ids.
+    const std::vector<worker *> &inPool(const std::string &pool) const;
+    // CPU of the pool's workers that are listed, in thousandths of a core.
+    std::int64_t listedCpuMillis(const std::string &pool) const;
     std::map<std::string, worker> &all()
     {
         return m_workers;
@@ -182,7 +187,16 @@
     }
 
 private:
+    struct pool_members
+    {
+        std::vector<worker *> workers;
+        std::int64_t listedCpuMillis = 0;
+    };
+    void addToPool(worker &entry);
+    void removeFromPool(const worker &entry);
+
     std::map<std::string, worker> m_workers;
+    std::unordered_map<std::string, pool_members> m_pools;
 };
 
 } // namespace jujubespool
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/jobs/run_scheduler.h>
 
 #include <algorithm>
+#include <jujubespool/jobs/free_capacity_index.h>
 #include <jujubespool/jobs/gang_placement.h>
 #include <jujubespool/jobs/team_shares.h>
 #include <tuple>
@@ -27,17 +28,6 @@
         , m_now(now)
         , m_result(result)
     {
-        model.countWorkersExamined(model.workers().all().size());
-        for (auto &[id, target] : model.workers().all()) {
-            if (acceptsNewTasks(target, now)) {
-                pool_workers &pool = m_pools[target.report.pool];
-                pool.workers.push_back(&target);
-                pool.hasLeavingWorkers = pool.hasLeavingWorkers || target.leavingPool;
-                if (pool.dataCenters.count(target.report.dataCenter) == 0) {
-                    pool.dataCenters.insert(target.report.dataCenter);
-                }
-            }
-        }
     }
 
     void schedule(job &current, const queue_config &queue)
@@ -82,7 +72,8 @@
     struct pool_workers
     {
         std::vector<worker *> workers;
-        std::set<std::string> dataCenters;
+        free_capacity_index index;
+        std::vector<std::string> dataCenters;
         std::vector<rejected_size> rejected;
         // Such workers are open to some steps only, so a task that may not use them says nothing about the others.
         bool hasLeavingWorkers = false;
@@ -99,8 +90,7 @@
             if (dataCenters.empty()) {
                 return {};
             }
-            const auto index = static_cast<std::ptrdiff_t>(std::hash<std::string>()(job) % dataCenters.size());
-            return *std::next(dataCenters.begin(), index);
+            return dataCenters[std::hash<std::string>()(job) % dataCenters.size()];
         }
 
         // Free capacity only shrinks during a pass, so a task or a gang does not fit if it needs at least as much as an earlier one
@@ -113,10 +103,30 @@
         }
     };
 
+    // Looks at the pool's workers when the first of its jobs is placed.
+    pool_workers &poolNamed(const std::string &name)
+    {
+        const auto [found, isNew] = m_pools.try_emplace(name);
+        pool_workers &pool = found->second;
+        if (isNew) {
+            const std::vector<worker *> &all = m_model.workers().inPool(name);
+            m_model.countWorkersExamined(all.size());
+            for (worker *target : all) {
+                if (acceptsNewTasks(*target, m_now)) {
+                    pool.workers.push_back(target);
+                    pool.hasLeavingWorkers = pool.hasLeavingWorkers || target->leavingPool;
+                }
+            }
+            pool.index = free_capacity_index(pool.workers);
+            pool.dataCenters = pool.index.dataCenters();
+        }
+        return pool;
+    }
+
     void scheduleStep(job &current, const queue_config &queue, const task_key &first)
     {
         const step_spec &step = current.step(first.step);
-        if (!queue.policy && m_pools[queue.pool].isKnownNotToFit(step)) {
+        if (!queue.policy && poolNamed(queue.pool).isKnownNotToFit(step)) {
             return;
         }
         std::vector<task_key> waiting;
@@ -169,7 +179,7 @@
     std::vector<std::string> workersToAsk(const job &current, const queue_config &queue, const task_key &key, std::size_t tasksAtOnce)
     {
         const std::string text = key.stepText();
-        const pool_workers &pool = m_pools[queue.pool];
+        const pool_workers &pool = poolNamed(queue.pool);
         placement_request request = requestFor(current, queue, key);
         request.isPermitted = nullptr;
         request.preferredDataCenter = pool.preferredDataCenterOf(key.job);
@@ -221,7 +231,7 @@
     std::vector<std::string> workersToAskForLater(const queue_config &queue, const std::string &text, const step_spec &step)
     {
         std::vector<std::string> workers;
-        for (const worker *target : m_pools[queue.pool].workers) {
+        for (const worker *target : poolNamed(queue.pool).workers) {
             if (!fitsWhenEmpty(*target, step)) {
                 continue;
             }
@@ -235,16 +245,16 @@
         return workers;
     }
 
-    placement_request requestFor(const job &current, const queue_config &queue, const task_key &key) const
+    placement_request requestFor(const job &current, const queue_config &queue, const task_key &key)
     {
         const step_spec &step = current.step(key.step);
         placement_request request{ key, &step, queue.pool, {}, {}, {}, {}, nullptr, false };
         const auto &tasks = current.occurrences().at(key.occurrence).steps[static_cast<std::size_t>(key.step)];
         const task_progress &task = tasks[static_cast<std::size_t>(key.index)];
         request.failedOn = &task.failedOn;
-        const auto pool = m_pools.find(queue.pool);
-        if (pool != m_pools.end() && pool->second.hasLeavingWorkers) {
-            request.mayUseLeavingWorkers = mayUseLeavingWorkers(step, tasks, pool->second.canHoldOnStayingWorker(step));
+        const pool_workers &pool = poolNamed(queue.pool);
+        if (pool.hasLeavingWorkers) {
+            request.mayUseLeavingWorkers = mayUseLeavingWorkers(step, tasks, pool.canHoldOnStayingWorker(step));
         }
         if (task.failures > 0 || step.longRunning) {
             request.avoidedWorker = task.worker;
@@ -271,13 +281,13 @@
         const step_spec &step = current.step(key.step);
         placement_request request = requestFor(current, queue, key);
         request.rack = rack;
-        pool_workers &pool = m_pools[queue.pool];
+        pool_workers &pool = poolNamed(queue.pool);
         request.preferredDataCenter = pool.preferredDataCenterOf(key.job);
         if (pool.isKnownNotToFit(step)) {
             return false;
         }
-        m_model.countWorkersExamined(pool.workers.size());
-        worker *target = chooseWorker(pool.workers, request, m_now);
+        worker *target = pool.index.choose(request, m_now);
+        m_model.countWorkersExamined(pool.index.takeExamined());
         if (target == nullptr) {
             if (needsOnlyCapacity(step, queue) && (request.mayUseLeavingWorkers || !pool.hasLeavingWorkers)) {
                 pool.rejected.push_back({ step.taskResources, 1 });
@@ -290,7 +300,9 @@
             ticket = *m_tickets.ticketFor(key.stepText(), *target, m_now);
             ticketValidUntil = m_tickets.validUntil(key.stepText(), *target);
         }
+        const std::int64_t freeCpuMillis = target->freeCapacity().cpuMillis;
         const int runNumber = m_model.place(key, *target, m_now, run);
+        pool.index.onPlaced(*target, freeCpuMillis);
         m_result.placements.push_back({ key, runNumber, target->report.id, ticket, ticketValidUntil });
         return true;
     }
@@ -302,7 +314,7 @@
         if (static_cast<int>(waiting.size()) < step.count || !teamMayRun(current, step, step.count)) {
             return;
         }
-        pool_workers &pool = m_pools[queue.pool];
+        pool_workers &pool = poolNamed(queue.pool);
         m_model.countWorkersExamined(pool.workers.size());
         const std::optional<std::string> rack = rackForGang(pool.workers, requestFor(current, queue, waiting.front()), m_now);
         if (!rack) {
@@ -369,12 +381,7 @@
 public:
     explicit share_tracker(const fleet_model &model)
     {
-        model.countWorkersExamined(model.workers().all().size());
         model.countJobsExamined(model.activeJobs().size());
-        std::unordered_map<std::string, std::int64_t> capacity;
-        for (const auto &[id, target] : model.workers().all()) {
-            capacity[target.report.pool] += target.listed ? target.report.capacity.cpuMillis : 0;
-        }
         std::unordered_map<std::string, std::unordered_map<std::string, std::int64_t>> demand;
         for (const auto &[id, entry] : model.activeJobs()) {
             const queue_config *queue = model.queueOf(*entry);
@@ -391,7 +398,7 @@
                 const double weight = config == model.config().teams.end() ? 1 : std::max(config->second.weight, MIN_WEIGHT);
                 demands.push_back({ team, weight, millis });
             }
-            m_shares[pool] = fairShares(capacity[pool], demands);
+            m_shares[pool] = fairShares(model.workers().listedCpuMillis(pool), demands);
         }
     }
 
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -91,17 +91,55 @@
     }
     worker &entry = m_workers[report.id];
     const bool isNew = entry.report.id.empty();
+    if (!isNew) {
+        removeFromPool(entry);
+    }
     entry.report = report;
     entry.listed = true;
     entry.reportAwaited = false;
+    addToPool(entry);
     if (isNew) {
         entry.nextPollAt = now;
     }
 }
 
+void worker_registry::addToPool(worker &entry)
+{
+    pool_members &pool = m_pools[entry.report.pool];
+    const auto hasLowerId = [](const worker *left, const worker *right) {
+        return left->report.id < right->report.id;
+    };
+    pool.workers.insert(std::lower_bound(pool.workers.begin(), pool.workers.end(), &entry, hasLowerId), &entry);
+    pool.listedCpuMillis += entry.listed ? entry.report.capacity.cpuMillis : 0;
+}
+
+void worker_registry::removeFromPool(const worker &entry)
+{
+    const auto pool = m_pools.find(entry.report.pool);
+    pool->second.listedCpuMillis -= entry.listed ? entry.report.capacity.cpuMillis : 0;
+    std::erase(pool->second.workers, &entry);
+    if (pool->second.workers.empty()) {
+        m_pools.erase(pool);
+    }
+}
+
+const std::vector<worker *> &worker_registry::inPool(const std::string &pool) const
+{
+    static const std::vector<worker *> NONE;
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? NONE : found->second.workers;
+}
+
+std::int64_t worker_registry::listedCpuMillis(const std::string &pool) const
+{
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.listedCpuMillis;
+}
+
 void worker_registry::replaceWith(const worker_incarnation &later, instant now)
 {
     worker &entry = m_workers.at(later.id);
+    removeFromPool(entry);
     worker next;
     next.report = entry.report;
     next.report.startTimeMs = later.startTimeMs;
@@ -109,14 +147,17 @@
     next.nextPollAt = now;
     next.lastResponseAt = now;
     entry = std::move(next);
+    addToPool(entry);
 }
 
 void worker_registry::markUnlisted(const std::string &id)
 {
     worker *entry = find(id);
     if (entry != nullptr) {
+        removeFromPool(*entry);
         entry->listed = false;
         entry->reportAwaited = false;
+        addToPool(*entry);
     }
 }
 
@@ -125,6 +166,9 @@
     for (auto position = m_workers.begin(); position != m_workers.end();) {
         const worker &entry = position->second;
         const bool removable = !entry.listed && !entry.reportAwaited && entry.runs.empty() && !entry.pollInFlight && now >= entry.leaseEnd;
+        if (removable) {
+            removeFromPool(entry);
+        }
         position = removable ? m_workers.erase(position) : std::next(position);
     }
 }
