Keep what jobs need by pool and team, and look at jobs with waiting tasks alone

Callers of the large fleet get answers too late in the peaks: each scheduling pass ranked, copied and sorted all active jobs and added up their demand by names, each GET of a queue scanned all active jobs, and each tick looked for recurring ones among them. Change: demand_index holds the CPU that teams use and wait for in each pool, the jobs with waiting tasks and the number of pending jobs, and takes over each job that has changed. Ranks refer to the job's id, and equal jobs go in the order of acceptance. Recurring jobs have a list of their own.

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -8,6 +8,7 @@
 // jobs to the ledger. This class performs no input or output.
 #pragma once
 
+#include <jujubespool/jobs/demand_index.h>
 #include <jujubespool/jobs/gateways.h>
 #include <jujubespool/jobs/known_queues.h>
 #include <jujubespool/jobs/team_usage_tracker.h>
@@ -115,6 +116,15 @@
     {
         return m_activeJobs;
     }
+    // The active jobs that recur, by their identifiers.
+    const std::map<std::string, job *> &recurringJobs() const
+    {
+        return m_recurringJobs;
+    }
+    // What the active jobs need at present.
+    const demand_index &demands() const;
+    // Records that a worker has a run of one of the job's tasks.
+    void recordStart(job &started);
     worker_registry &workers()
     {
         return m_workers;
@@ -163,7 +173,9 @@
     static resources resourcesOf(const step_spec &step);
 
 private:
-    void deactivate(const job &entry);
+    void deactivate(job &entry);
+    // Updates the demand of all active jobs when it is needed next.
+    void renewDemands();
     void unplace(const task_key &key, const task_progress &task);
     // A job that has failed as often as it may is taken for the cause.
     void forgiveWorkersOf(const job &failedJob);
@@ -177,6 +189,10 @@
     known_queues m_queues;
     std::map<std::string, job> m_jobs;
     std::map<std::string, job *> m_activeJobs;
+    std::map<std::string, job *> m_recurringJobs;
+    mutable demand_index m_demands;
+    // Active jobs that m_demands has to be updated with.
+    mutable std::vector<job *> m_demandChanged;
     std::set<std::string> m_changed;
     std::vector<std::string> m_ended;
     mutable owner_work m_work;
--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace jujubespool {
@@ -247,10 +248,10 @@
     // Marks each occurrence as ended whose tasks are all done and have left their workers, and forgets ended ones but for the latest.
     // Returns true when the whole job is done.
     bool markFinishedOccurrences();
-    // A worker has a run of one of the tasks.
-    void recordStart()
+    // A worker has a run of one of the tasks. Returns true if it is the first.
+    bool recordStart()
     {
-        m_started = true;
+        return !std::exchange(m_started, true);
     }
     // True when at least one task has had a run. After a change of owner, a run that left no trace in the job doesn't count.
     bool hasStarted() const;
@@ -265,10 +266,12 @@
     milliseconds criticalPathLength() const;
     // The demand is computed once after each change.
     const job_demand &demand() const;
-    // Must be called after each change of the job's progress.
-    void markDemandChanged()
+    // Must be called after each change of the job's progress. Returns false if the demand has not been computed since the last change.
+    bool markDemandChanged()
     {
+        const bool computed = m_demand.has_value();
         m_demand.reset();
+        return computed;
     }
 
 private:
--- a/packages/jobs/include/jujubespool/jobs/run_scheduler.h
+++ b/packages/jobs/include/jujubespool/jobs/run_scheduler.h
@@ -40,8 +40,9 @@
     bool late = false;
     // Estimated work of the tasks that are not done yet, in core seconds.
     double coreSecondsLeft = 0;
-    // Makes the order unique.
-    std::string id;
+    wall_ms acceptedAt = 0;
+    // Identifier of the job, which makes the order unique. The job must outlive the rank.
+    std::string_view id;
 
     bool operator<(const job_rank &other) const;
 };
--- a/packages/jobs/include/jujubespool/jobs/team_shares.h
+++ b/packages/jobs/include/jujubespool/jobs/team_shares.h
@@ -13,6 +13,18 @@
 
 namespace jujubespool {
 
+// The demand of one of several competitors for the same capacity.
+struct weighted_demand
+{
+    // Greater than 0.
+    double weight = 1;
+    // CPU that is used or waited for, in thousandths of a core.
+    std::int64_t demandMillis = 0;
+};
+
+// Returns the weighted max-min fair shares in the order of the demands, in thousandths of a core. No share exceeds its demand.
+std::vector<double> fairShares(std::int64_t capacityMillis, const std::vector<weighted_demand> &demands);
+
 struct team_demand
 {
     std::string team;
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -35,6 +35,7 @@
 {
     m_config = std::move(config);
     m_queues.setConfig(*m_config);
+    renewDemands();
 }
 
 const queue_config *fleet_model::queueOf(const job &entry) const
@@ -45,6 +46,7 @@
 void fleet_model::restoreQueue(const queue_config &queue)
 {
     m_queues.restore(queue);
+    renewDemands();
 }
 
 std::vector<ledger_entry> fleet_model::takeChangedQueues()
@@ -61,12 +63,16 @@
 job &fleet_model::add(job entry)
 {
     const std::string id = entry.request().id;
-    if (const job *replaced = find(id)) {
+    if (job *replaced = find(id)) {
         deactivate(*replaced);
     }
     job &added = m_jobs.insert_or_assign(id, std::move(entry)).first->second;
     if (!added.ended()) {
         m_activeJobs[id] = &added;
+        if (added.isRecurring()) {
+            m_recurringJobs[id] = &added;
+        }
+        m_demandChanged.push_back(&added);
         m_queues.addJob(added.request().queue);
     }
     return added;
@@ -74,7 +80,7 @@
 
 void fleet_model::remove(const std::string &id)
 {
-    const job *removed = find(id);
+    job *removed = find(id);
     if (removed == nullptr) {
         return;
     }
@@ -83,10 +89,39 @@
     m_jobs.erase(id);
 }
 
-void fleet_model::deactivate(const job &entry)
+void fleet_model::deactivate(job &entry)
 {
     if (m_activeJobs.erase(entry.request().id) > 0) {
+        m_recurringJobs.erase(entry.request().id);
         m_queues.removeJob(entry.request().queue);
+        m_demands.remove(entry);
+        std::erase(m_demandChanged, &entry);
+    }
+}
+
+void fleet_model::renewDemands()
+{
+    m_demands.clear();
+    m_demandChanged.clear();
+    for (const auto &[id, active] : m_activeJobs) {
+        m_demandChanged.push_back(active);
+    }
+}
+
+const demand_index &fleet_model::demands() const
+{
+    countJobsExamined(m_demandChanged.size());
+    for (job *changed : m_demandChanged) {
+        m_demands.update(*changed, queueOf(*changed));
+    }
+    m_demandChanged.clear();
+    return m_demands;
+}
+
+void fleet_model::recordStart(job &started)
+{
+    if (started.recordStart() && !started.ended()) {
+        m_demandChanged.push_back(&started);
     }
 }
 
@@ -94,8 +129,8 @@
 {
     m_changed.insert(id);
     job *changed = find(id);
-    if (changed != nullptr) {
-        changed->markDemandChanged();
+    if (changed != nullptr && changed->markDemandChanged() && !changed->ended()) {
+        m_demandChanged.push_back(changed);
     }
 }
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -252,11 +252,7 @@
 
 int job_manager::pendingJobCount(const std::string &queue) const
 {
-    m_model.countJobsExamined(m_model.activeJobs().size());
-    return static_cast<int>(std::count_if(m_model.activeJobs().begin(), m_model.activeJobs().end(), [&](const auto &entry) {
-        const job &candidate = *entry.second;
-        return candidate.request().queue == queue && !candidate.hasStarted();
-    }));
+    return m_model.demands().pendingJobCount(queue);
 }
 
 void job_manager::stopRuns(const std::string &id)
@@ -284,9 +280,9 @@
         return;
     }
     checkTakeOverKnown(now);
-    m_model.countJobsExamined(m_model.activeJobs().size());
-    for (const auto &[id, active] : m_model.activeJobs()) {
-        if (active->isRecurring() && active->addDueOccurrences(wall, maxImageBytes())) {
+    m_model.countJobsExamined(m_model.recurringJobs().size());
+    for (const auto &[id, active] : m_model.recurringJobs()) {
+        if (active->addDueOccurrences(wall, maxImageBytes())) {
             m_model.markChanged(id);
             requestSchedule(now);
         }
--- a/packages/jobs/src/run_polls.cpp
+++ b/packages/jobs/src/run_polls.cpp
@@ -202,7 +202,7 @@
         run.progressPercent = running.progressPercent;
         run.reportedMetric = running.reportedMetric;
         job *owningJob = m_model.find(running.task.job);
-        owningJob->recordStart();
+        m_model.recordStart(*owningJob);
         owningJob->setCheckpoint(running.task, running.checkpoint);
         if (!owningJob->needsRun(running.task)) {
             stop(running.task);
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -347,13 +347,13 @@
 
 bool job_rank::operator<(const job_rank &other) const
 {
-    return std::tie(priority, exceedsShare, late, coreSecondsLeft, id)
-        < std::tie(other.priority, other.exceedsShare, other.late, other.coreSecondsLeft, other.id);
+    return std::tie(priority, exceedsShare, late, coreSecondsLeft, acceptedAt, id)
+        < std::tie(other.priority, other.exceedsShare, other.late, other.coreSecondsLeft, other.acceptedAt, other.id);
 }
 
 job_rank rankOf(const job &current, const queue_config &queue, wall_ms wall)
 {
-    job_rank rank{ queue.priority, false, false, 0, current.request().id };
+    job_rank rank{ queue.priority, false, false, 0, current.acceptedAt(), current.request().id };
     if (current.isLongRunning()) {
         return rank;
     }
@@ -372,53 +372,59 @@
 {
     job_rank rank;
     job *current = nullptr;
-    const queue_config *queue = nullptr;
+    const job_load *load = nullptr;
 };
 
 // Tracks the CPU that is allocated to each team in each pool and finds the jobs whose team already has its fair share.
 class share_tracker
 {
 public:
-    explicit share_tracker(const fleet_model &model)
+    share_tracker(const fleet_model &model, const demand_index &demands)
     {
-        model.countJobsExamined(model.activeJobs().size());
-        std::unordered_map<std::string, std::unordered_map<std::string, std::int64_t>> demand;
-        for (const auto &[id, entry] : model.activeJobs()) {
-            const queue_config *queue = model.queueOf(*entry);
-            if (queue != nullptr) {
-                const job_demand &jobDemand = entry->demand();
-                demand[queue->pool][entry->request().team] += jobDemand.usedMillis + jobDemand.waitingMillis;
-                m_allocatedMillis[queue->pool][entry->request().team] += jobDemand.usedMillis;
+        for (const auto &[name, pool] : demands.pools()) {
+            if (!pool.waitingJobs.empty()) {
+                addTeams(model, name, pool);
             }
         }
-        for (const auto &[pool, teams] : demand) {
-            std::vector<team_demand> demands;
-            for (const auto &[team, millis] : teams) {
-                const auto config = model.config().teams.find(team);
-                const double weight = config == model.config().teams.end() ? 1 : std::max(config->second.weight, MIN_WEIGHT);
-                demands.push_back({ team, weight, millis });
-            }
-            m_shares[pool] = fairShares(model.workers().listedCpuMillis(pool), demands);
-        }
     }
 
     // True when the team already has its share of the pool without the job's waiting tasks. Must be called for the jobs in
     // scheduling order.
     bool exceedsShare(const ranked_job &ranked)
     {
-        const std::string &team = ranked.current->request().team;
-        std::int64_t &allocatedMillis = m_allocatedMillis[ranked.queue->pool][team];
-        const std::int64_t waitingMillis = ranked.current->demand().waitingMillis;
-        const bool exceeds = waitingMillis > 0 && static_cast<double>(allocatedMillis) >= m_shares[ranked.queue->pool][team];
-        allocatedMillis += waitingMillis;
+        team_share &team = m_teams.at(ranked.load->team);
+        const std::int64_t waitingMillis = ranked.load->waitingMillis;
+        const bool exceeds = waitingMillis > 0 && static_cast<double>(team.allocatedMillis) >= team.share;
+        team.allocatedMillis += waitingMillis;
         return exceeds;
     }
 
 private:
     static constexpr double MIN_WEIGHT = 0.001;
 
-    std::unordered_map<std::string, std::map<std::string, double>> m_shares;
-    std::unordered_map<std::string, std::unordered_map<std::string, std::int64_t>> m_allocatedMillis;
+    struct team_share
+    {
+        double share = 0;
+        std::int64_t allocatedMillis = 0;
+    };
+
+    void addTeams(const fleet_model &model, const std::string &poolName, const pool_load &pool)
+    {
+        std::vector<weighted_demand> weighted;
+        weighted.reserve(pool.teams.size());
+        for (const auto &[team, load] : pool.teams) {
+            const auto config = model.config().teams.find(team);
+            const double weight = config == model.config().teams.end() ? 1 : std::max(config->second.weight, MIN_WEIGHT);
+            weighted.push_back({ weight, load.usedMillis + load.waitingMillis });
+        }
+        const std::vector<double> shares = fairShares(model.workers().listedCpuMillis(poolName), weighted);
+        std::size_t next = 0;
+        for (const auto &[team, load] : pool.teams) {
+            m_teams[&load] = { shares[next++], load.usedMillis };
+        }
+    }
+
+    std::unordered_map<const team_load *, team_share> m_teams;
 };
 
 } // namespace
@@ -426,14 +432,15 @@
 schedule_result run_scheduler::decide(fleet_model &model, const policy_ticket_cache &tickets, instant now, wall_ms wall) const
 {
     schedule_result result;
+    const demand_index &demands = model.demands();
     std::vector<ranked_job> order;
-    model.countJobsExamined(model.activeJobs().size());
-    for (const auto &[id, current] : model.activeJobs()) {
-        const queue_config *queue = current->demand().hasWaitingTasks ? model.queueOf(*current) : nullptr;
-        if (queue != nullptr) {
-            order.push_back({ rankOf(*current, *queue, wall), current, queue });
+    for (const auto &[name, pool] : demands.pools()) {
+        for (job *waiting : pool.waitingJobs) {
+            const job_load &load = demands.loadOf(*waiting);
+            order.push_back({ rankOf(*waiting, *load.queue, wall), waiting, &load });
         }
     }
+    model.countJobsExamined(order.size());
     if (order.empty()) {
         model.countSchedulingPass(0);
         return result;
@@ -442,14 +449,14 @@
         return left.rank < right.rank;
     };
     std::sort(order.begin(), order.end(), byRank);
-    share_tracker shares(model);
+    share_tracker shares(model, demands);
     for (ranked_job &ranked : order) {
         ranked.rank.exceedsShare = shares.exceedsShare(ranked);
     }
     std::sort(order.begin(), order.end(), byRank);
     scheduling_pass pass(model, tickets, now, result);
     for (const ranked_job &ranked : order) {
-        pass.schedule(*ranked.current, *ranked.queue);
+        pass.schedule(*ranked.current, *ranked.load->queue);
     }
     pass.finish();
     model.countSchedulingPass(result.placements.size());
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -184,7 +184,7 @@
     if (result.status == order_status::accepted) {
         run->confirmed = true;
         run->confirmedAt = now;
-        m_model.find(placed.task.job)->recordStart();
+        m_model.recordStart(*m_model.find(placed.task.job));
         if (!target->pollInFlight) {
             target->nextPollAt = now;
         }
--- a/packages/jobs/src/team_shares.cpp
+++ b/packages/jobs/src/team_shares.cpp
@@ -1,29 +1,46 @@
 #include <jujubespool/jobs/team_shares.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace jujubespool {
 
-std::map<std::string, double> fairShares(std::int64_t capacityMillis, const std::vector<team_demand> &demands)
+std::vector<double> fairShares(std::int64_t capacityMillis, const std::vector<weighted_demand> &demands)
 {
-    // Teams are processed in the order of their demand per weight. What the first ones leave unused is divided among the others.
-    std::vector<team_demand> order = demands;
-    std::sort(order.begin(), order.end(), [](const team_demand &left, const team_demand &right) {
-        return static_cast<double>(left.demandMillis) * right.weight < static_cast<double>(right.demandMillis) * left.weight;
+    // Processed in the order of the demand per weight. What the first ones leave unused is divided among the others.
+    std::vector<std::size_t> order(demands.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(), [&demands](std::size_t left, std::size_t right) {
+        return static_cast<double>(demands[left].demandMillis) * demands[right].weight
+            < static_cast<double>(demands[right].demandMillis) * demands[left].weight;
     });
     double weightLeft = 0;
-    for (const team_demand &demand : order) {
+    for (const weighted_demand &demand : demands) {
         weightLeft += demand.weight;
     }
     double capacityLeft = static_cast<double>(capacityMillis);
-    std::map<std::string, double> shares;
-    for (const team_demand &demand : order) {
-        const double share = std::min(static_cast<double>(demand.demandMillis), capacityLeft * demand.weight / weightLeft);
-        shares[demand.team] = share;
-        capacityLeft -= share;
+    std::vector<double> shares(demands.size());
+    for (const std::size_t next : order) {
+        const weighted_demand &demand = demands[next];
+        shares[next] = std::min(static_cast<double>(demand.demandMillis), capacityLeft * demand.weight / weightLeft);
+        capacityLeft -= shares[next];
         weightLeft -= demand.weight;
     }
     return shares;
 }
 
+std::map<std::string, double> fairShares(std::int64_t capacityMillis, const std::vector<team_demand> &demands)
+{
+    std::vector<weighted_demand> weighted;
+    for (const team_demand &demand : demands) {
+        weighted.push_back({ demand.weight, demand.demandMillis });
+    }
+    const std::vector<double> values = fairShares(capacityMillis, weighted);
+    std::map<std::string, double> shares;
+    for (std::size_t i = 0; i < demands.size(); ++i) {
+        shares[demands[i].team] = values[i];
+    }
+    return shares;
+}
+
 } // namespace jujubespool
