Identify jobs by names that are stored once, in place of texts

Job ids have 16 characters, one more than a string holds in place, so that each copy of a task's key allocated memory. Change: interned_name (core), and job_id as the first of its kind: a copy counts a reference, a comparison compares pointers, and jobs are found by a hash of a number. Ruled out: boost::container::flat_map for the runs of a worker, whose headers collide with Criterion's macros.

--- a/packages/jobs/include/jujubespool/jobs/fleet_model.h
+++ b/packages/jobs/include/jujubespool/jobs/fleet_model.h
@@ -104,20 +104,20 @@
         m_work.tasksPlaced += placed;
     }
 
-    job *find(const std::string &id);
+    job *find(const job_id &id);
     job &add(job entry);
-    void remove(const std::string &id);
-    const std::map<std::string, job> &jobs() const
+    void remove(const job_id &id);
+    const std::unordered_map<job_id, job> &jobs() const
     {
         return m_jobs;
     }
-    // The jobs that have not ended, by their identifiers.
-    const std::map<std::string, job *> &activeJobs() const
+    // The jobs that have not ended, in the order in which their identifiers were first seen.
+    const std::map<job_id, job *> &activeJobs() const
     {
         return m_activeJobs;
     }
     // The active jobs that recur, by their identifiers.
-    const std::map<std::string, job *> &recurringJobs() const
+    const std::map<job_id, job *> &recurringJobs() const
     {
         return m_recurringJobs;
     }
@@ -139,11 +139,11 @@
     }
 
     // Marks the job as changed since the last ledger write; its demand is computed again.
-    void markChanged(const std::string &id);
+    void markChanged(const job_id &id);
     // Returns the jobs changed since the last call.
-    std::set<std::string> takeChanged();
+    std::set<job_id> takeChanged();
     // Returns the jobs ended since the last call.
-    std::vector<std::string> takeEnded();
+    std::vector<job_id> takeEnded();
 
     // Assigns a waiting task to the worker. The run number is the next one unless it is given, as for members of a
     // gang.
@@ -187,14 +187,14 @@
     manager_bounds m_bounds;
     std::shared_ptr<const fleet_config> m_config;
     known_queues m_queues;
-    std::map<std::string, job> m_jobs;
-    std::map<std::string, job *> m_activeJobs;
-    std::map<std::string, job *> m_recurringJobs;
+    std::unordered_map<job_id, job> m_jobs;
+    std::map<job_id, job *> m_activeJobs;
+    std::map<job_id, job *> m_recurringJobs;
     mutable demand_index m_demands;
     // Active jobs that m_demands has to be updated with.
     mutable std::vector<job *> m_demandChanged;
-    std::set<std::string> m_changed;
-    std::vector<std::string> m_ended;
+    std::set<job_id> m_changed;
+    std::vector<job_id> m_ended;
     mutable owner_work m_work;
     worker_registry m_workers;
     team_usage_tracker m_usage;
--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <jujubespool/core/enum_names.h>
+#include <jujubespool/core/interned_name.h>
 #include <jujubespool/core/time.h>
 #include <jujubespool/wire/jujubespool.pb.h>
 #include <map>
@@ -67,9 +68,12 @@
     milliseconds tailLatencyTarget{ 0 };
 };
 
+// Identifier of a job, 16 hexadecimal digits.
+using job_id = interned_name<struct job_id_tag>;
+
 struct job_request
 {
-    std::string id;
+    job_id id;
     std::string queue;
     std::string team;
     std::string spec;
@@ -116,7 +120,7 @@
 // Identifies one task of a job.
 struct task_key
 {
-    std::string job;
+    job_id job;
     int occurrence = 0;
     int step = 0;
     int index = 0;
@@ -124,7 +128,7 @@
     bool operator==(const task_key &other) const = default;
     bool operator<(const task_key &other) const
     {
-        return std::tie(job, occurrence, step, index) < std::tie(other.job, other.occurrence, other.step, other.index);
+        return job == other.job ? std::tie(occurrence, step, index) < std::tie(other.occurrence, other.step, other.index) : job < other.job;
     }
     // The key in the form "job.occurrence.step.index".
     std::string text() const;
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -57,9 +57,9 @@
     // Calls back once the job is durable. A job whose id exists already is accepted again without an effect.
     void submit(const job_request &request, const std::function<void(submit_result result)> &done, instant now, wall_ms wall);
     // Calls back once the cancellation is durable, then stops the job's runs.
-    void cancel(const std::string &id, const std::function<void(cancel_result result)> &done, instant now, wall_ms wall);
+    void cancel(const job_id &id, const std::function<void(cancel_result result)> &done, instant now, wall_ms wall);
     // Calls back with the state of the job, or without a value for an unknown job. A final state is reported once it is durable.
-    void queryState(const std::string &id, const std::function<void(std::optional<job_state> state)> &done, instant now);
+    void queryState(const job_id &id, const std::function<void(std::optional<job_state> state)> &done, instant now);
     // Number of jobs in the queue of which no task has started.
     int pendingJobCount(const std::string &queue) const;
 
@@ -117,13 +117,13 @@
     // Sends the start orders of placements that are recorded.
     void sendStarts(const std::vector<placement> &placements, instant now);
     void writeChanged();
-    void onJobEnded(const std::string &id);
+    void onJobEnded(const job_id &id);
     void requestTickets(const ticket_request &request);
     // Whether the step, in the form "job.occurrence.step", still has tasks that are not done.
     bool isStepUnfinished(const std::string &step) const;
     // Largest image of a job that fits into a record.
     std::size_t maxImageBytes() const;
-    void stopRuns(const std::string &id);
+    void stopRuns(const job_id &id);
     void removeExpiredJobs(wall_ms wall);
     void restoreQueue(const std::string &name, const std::string &value);
     // Logs each job that cannot run, because neither the configuration nor the ledger has its queue.
--- a/packages/jobs/include/jujubespool/jobs/run_scheduler.h
+++ b/packages/jobs/include/jujubespool/jobs/run_scheduler.h
@@ -41,8 +41,8 @@
     // Estimated work of the tasks that are not done yet, in core seconds.
     double coreSecondsLeft = 0;
     wall_ms acceptedAt = 0;
-    // Identifier of the job, which makes the order unique. The job must outlive the rank.
-    std::string_view id;
+    // Number of the job's identifier, which makes the order unique.
+    std::uint64_t number = 0;
 
     bool operator<(const job_rank &other) const;
 };
--- a/packages/jobs/include/jujubespool/jobs/wait_reporter.h
+++ b/packages/jobs/include/jujubespool/jobs/wait_reporter.h
@@ -70,9 +70,9 @@
     const policy_ticket_cache &m_tickets;
     event_log &m_log;
     // The jobs with a task that did not run when they were last examined.
-    std::map<std::string, waiting_job> m_waiting;
+    std::map<job_id, waiting_job> m_waiting;
     // Job with which the round continues; empty between two rounds.
-    std::string m_nextJob;
+    job_id m_nextJob;
     instant m_roundStartedAt;
     // The tasks that are still to be reported.
     std::vector<overdue_task> m_selected;
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -152,7 +152,7 @@
     std::string rack() const;
     resources freeCapacity() const;
     // Number of runs here that belong to the step of the job's occurrence.
-    int countTasks(const std::string &jobId, int occurrence, int step) const;
+    int countTasks(const job_id &job, int occurrence, int step) const;
     // Replaces an earlier run of the same task.
     void place(const task_key &key, const placed_run &run);
     void remove(const task_key &key);
--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -54,7 +54,7 @@
     return m_queues.takeChanges();
 }
 
-job *fleet_model::find(const std::string &id)
+job *fleet_model::find(const job_id &id)
 {
     const auto found = m_jobs.find(id);
     return found == m_jobs.end() ? nullptr : &found->second;
@@ -62,7 +62,7 @@
 
 job &fleet_model::add(job entry)
 {
-    const std::string id = entry.request().id;
+    const job_id id = entry.request().id;
     if (job *replaced = find(id)) {
         deactivate(*replaced);
     }
@@ -78,7 +78,7 @@
     return added;
 }
 
-void fleet_model::remove(const std::string &id)
+void fleet_model::remove(const job_id &id)
 {
     job *removed = find(id);
     if (removed == nullptr) {
@@ -125,7 +125,7 @@
     }
 }
 
-void fleet_model::markChanged(const std::string &id)
+void fleet_model::markChanged(const job_id &id)
 {
     m_changed.insert(id);
     job *changed = find(id);
@@ -134,7 +134,7 @@
     }
 }
 
-std::set<std::string> fleet_model::takeChanged()
+std::set<job_id> fleet_model::takeChanged()
 {
     return std::exchange(m_changed, {});
 }
@@ -144,7 +144,7 @@
     return step.taskResources;
 }
 
-std::vector<std::string> fleet_model::takeEnded()
+std::vector<job_id> fleet_model::takeEnded()
 {
     return std::exchange(m_ended, {});
 }
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -161,12 +161,12 @@
 
 std::string task_key::text() const
 {
-    return fmt::format("{}.{}.{}.{}", job, occurrence, step, index);
+    return fmt::format("{}.{}.{}.{}", job.text(), occurrence, step, index);
 }
 
 std::string task_key::stepText() const
 {
-    return fmt::format("{}.{}.{}", job, occurrence, step);
+    return fmt::format("{}.{}.{}", job.text(), occurrence, step);
 }
 
 std::optional<task_key> task_key::parse(const std::string &text)
@@ -258,7 +258,7 @@
 wire::job_image job::toImage() const
 {
     wire::job_image image;
-    image.set_id(m_request.id);
+    image.set_id(m_request.id.text());
     image.set_queue(m_request.queue);
     image.set_team(m_request.team);
     image.set_repeat_count(static_cast<std::uint32_t>(m_request.repeatCount));
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -214,7 +214,7 @@
         now);
 }
 
-void job_manager::cancel(const std::string &id, const std::function<void(cancel_result result)> &done, instant now, wall_ms wall)
+void job_manager::cancel(const job_id &id, const std::function<void(cancel_result result)> &done, instant now, wall_ms wall)
 {
     m_wall = wall;
     job *found = m_model.find(id);
@@ -234,7 +234,7 @@
         now);
 }
 
-void job_manager::queryState(const std::string &id, const std::function<void(std::optional<job_state> state)> &done, instant now)
+void job_manager::queryState(const job_id &id, const std::function<void(std::optional<job_state> state)> &done, instant now)
 {
     const job *found = m_model.find(id);
     if (found == nullptr) {
@@ -255,7 +255,7 @@
     return m_model.demands().pendingJobCount(queue);
 }
 
-void job_manager::stopRuns(const std::string &id)
+void job_manager::stopRuns(const job_id &id)
 {
     job *found = m_model.find(id);
     if (found == nullptr) {
@@ -308,7 +308,7 @@
 
 void job_manager::removeExpiredJobs(wall_ms wall)
 {
-    std::vector<std::string> expired;
+    std::vector<job_id> expired;
     m_model.countJobsExamined(m_model.jobs().size());
     const auto retentionMs = static_cast<wall_ms>(duration_cast<milliseconds>(m_model.bounds().statusRetention).count());
     for (const auto &[id, stored] : m_model.jobs()) {
@@ -316,7 +316,7 @@
             expired.push_back(id);
         }
     }
-    for (const std::string &id : expired) {
+    for (const job_id &id : expired) {
         m_model.remove(id);
         m_writer.put({ ledgerKey(ledger_kind::job, id), std::nullopt });
     }
@@ -409,13 +409,13 @@
 
 void job_manager::writeChanged()
 {
-    for (const std::string &id : m_model.takeChanged()) {
+    for (const job_id &id : m_model.takeChanged()) {
         m_writer.putLazily(ledgerKey(ledger_kind::job, id), [this, id] {
             const job *changed = m_model.find(id);
             return changed == nullptr ? std::nullopt : std::optional(changed->toImage().SerializeAsString());
         });
     }
-    for (const std::string &id : m_model.takeEnded()) {
+    for (const job_id &id : m_model.takeEnded()) {
         onJobEnded(id);
     }
     for (ledger_entry &entry : m_model.takeChangedQueues()) {
@@ -426,7 +426,7 @@
     }
 }
 
-void job_manager::onJobEnded(const std::string &id)
+void job_manager::onJobEnded(const job_id &id)
 {
     const job *endedJob = m_model.find(id);
     if (endedJob == nullptr) {
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -347,13 +347,13 @@
 
 bool job_rank::operator<(const job_rank &other) const
 {
-    return std::tie(priority, exceedsShare, late, coreSecondsLeft, acceptedAt, id)
-        < std::tie(other.priority, other.exceedsShare, other.late, other.coreSecondsLeft, other.acceptedAt, other.id);
+    return std::tie(priority, exceedsShare, late, coreSecondsLeft, acceptedAt, number)
+        < std::tie(other.priority, other.exceedsShare, other.late, other.coreSecondsLeft, other.acceptedAt, other.number);
 }
 
 job_rank rankOf(const job &current, const queue_config &queue, wall_ms wall)
 {
-    job_rank rank{ queue.priority, false, false, 0, current.acceptedAt(), current.request().id };
+    job_rank rank{ queue.priority, false, false, 0, current.acceptedAt(), current.request().id.number() };
     if (current.isLongRunning()) {
         return rank;
     }
--- a/packages/jobs/src/wait_reporter.cpp
+++ b/packages/jobs/src/wait_reporter.cpp
@@ -59,14 +59,14 @@
         m_nextJob = entry->first;
         return;
     }
-    m_nextJob.clear();
+    m_nextJob = {};
     std::erase_if(m_waiting, [this](const auto &waiting) { return !m_model.activeJobs().contains(waiting.first); });
 }
 
 int wait_reporter::examine(const job &current, instant now, wall_ms wall)
 {
     m_model.countJobsExamined(1);
-    const std::string &id = current.request().id;
+    const job_id &id = current.request().id;
     const auto known = m_waiting.find(id);
     std::map<std::pair<int, int>, held_back_task> steps;
     int examined = 1;
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -24,7 +24,7 @@
 
 bool worker::isSuspectedToFailRuns() const
 {
-    std::set<std::string> jobs;
+    std::set<job_id> jobs;
     for (const task_key &task : failedTasks) {
         jobs.insert(task.job);
     }
@@ -54,11 +54,11 @@
     return free;
 }
 
-int worker::countTasks(const std::string &jobId, int occurrence, int step) const
+int worker::countTasks(const job_id &job, int occurrence, int step) const
 {
     int count = 0;
-    for (auto entry = runs.lower_bound({ jobId, occurrence, step, 0 }); entry != runs.end(); ++entry) {
-        if (entry->first.job != jobId || entry->first.occurrence != occurrence || entry->first.step != step) {
+    for (auto entry = runs.lower_bound({ job, occurrence, step, 0 }); entry != runs.end(); ++entry) {
+        if (entry->first.job != job || entry->first.occurrence != occurrence || entry->first.step != step) {
             break;
         }
         ++count;
--- a/packages/manager/test/fake_platform_jobs.cpp
+++ b/packages/manager/test/fake_platform_jobs.cpp
@@ -23,7 +23,7 @@
 
 std::string stepOf(const task_key &key)
 {
-    return key.job + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step);
+    return key.job.text() + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step);
 }
 
 } // namespace
--- a/packages/manager/test/liveness_test.cpp
+++ b/packages/manager/test/liveness_test.cpp
@@ -417,11 +417,11 @@
     {
         planned_job planned;
         planned.request.id = fmt::format("{:016x}", 0xa0 + number);
-        planned.request.spec = "spec of " + planned.request.id;
+        planned.request.spec = "spec of " + planned.request.id.text();
         const queue_config &queue
             = m_config.queues[static_cast<std::size_t>(between(own, 0, static_cast<int>(m_config.queues.size()) - 1))];
         planned.request.queue = queue.name;
-        planned.path = queue.pathPrefix + planned.request.id;
+        planned.path = queue.pathPrefix + planned.request.id.text();
         if (has(shape::teams) && chance(own, 70)) {
             planned.key = chance(own, 50) ? "small-key" : "large-key";
             planned.request.team = m_config.keys.at(planned.key);
@@ -520,7 +520,7 @@
             step.maxPerWorker = 0;
             planned.request.steps = { step };
             planned.request.queue = "q";
-            planned.path = "/q/" + planned.request.id;
+            planned.path = "/q/" + planned.request.id.text();
         }
     }
 
@@ -967,7 +967,7 @@
         m_platform.after(CALL_TIMEOUT, [once](instant) { once(0); });
         owner_session *owner = activeOwner();
         if (owner != nullptr) {
-            owner->handle({ method, "h", planned.path, planned.key, "job:" + planned.request.id }, m_platform.now(),
+            owner->handle({ method, "h", planned.path, planned.key, "job:" + planned.request.id.text() }, m_platform.now(),
                           [once](const http_reply &reply) { once(reply.status); });
         }
     }
@@ -996,7 +996,7 @@
             if (status == 200 || status == 410) {
                 planned.cancelled = true;
                 if (status == 410) {
-                    m_unknown.push_back(planned.request.id + " is unknown when it is cancelled");
+                    m_unknown.push_back(planned.request.id.text() + " is unknown when it is cancelled");
                 }
             } else if (status != 404) {
                 m_platform.after(RETRY_DELAY, [this, number](instant) { cancel(number); });
@@ -1121,7 +1121,7 @@
             sum += withoutSpareCpu(run.need, run.bestEffort);
             const auto entry = state.jobs().find(key.job);
             if (entry == state.jobs().end()) {
-                errors.push_back(fmt::format("{} holds a run of the unknown job {}", id, key.job));
+                errors.push_back(fmt::format("{} holds a run of the unknown job {}", id, key.job.text()));
                 continue;
             }
             used[entry->second.request().team] += run.need;
@@ -1183,7 +1183,7 @@
             const auto &labels = target.report.labels;
             const bool labelled = step.requiredLabel.empty() || std::count(labels.begin(), labels.end(), step.requiredLabel) > 0;
             const bool below = step.maxPerWorker == 0 || ofStep < step.maxPerWorker;
-            const std::string text = key.job + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step);
+            const std::string text = key.job.text() + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step);
             const bool permitted = !queue->policy || m_platform.policyAllows(text, id);
             if (target.alive && target.report.pool == queue->pool && labelled && below && permitted) {
                 for (; needed > 0 && used.fitsIn(target.report.capacity); --needed) {
@@ -1241,7 +1241,7 @@
         for (const planned_job &planned : m_jobs) {
             if (!settled(planned)) {
                 const job *entry = known(planned);
-                found.push_back(fmt::format("{} of {} has not ended: {}", planned.request.id, planned.request.queue,
+                found.push_back(fmt::format("{} of {} has not ended: {}", planned.request.id.text(), planned.request.queue,
                                             entry == nullptr ? "unknown" : std::string(nameOf(entry->state()))));
                 if (entry != nullptr) {
                     describe(*entry, found);
