Look for another worker of a long-running task in its pool alone

Change: the workers of the pool. Ruled out: a longer interval between the steps of a wave, which would delay maintenance. Placements move into the callback that sends their starts instead of being copied.

--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -216,9 +216,10 @@
 {
     const step_spec &step = m_model.find(key.job)->step(key.step);
     const placement_request request{ key, &step, from.report.pool, {}, {}, {}, {}, nullptr, false };
-    const auto &workers = m_model.workers().all();
-    return std::any_of(workers.begin(), workers.end(), [&](const auto &entry) {
-        return entry.first != from.report.id && !entry.second.dueForMaintenance && isEligible(entry.second, request, now);
+    const std::vector<worker *> &workers = m_model.workers().inPool(from.report.pool);
+    return std::any_of(workers.begin(), workers.end(), [&](const worker *target) {
+        m_model.countWorkersExamined(1);
+        return target != &from && !target->dueForMaintenance && isEligible(*target, request, now);
     });
 }
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -361,7 +361,7 @@
     if (!m_model.configured()) {
         return;
     }
-    const schedule_result result = m_scheduler.decide(m_model, m_tickets, now, m_wall);
+    schedule_result result = m_scheduler.decide(m_model, m_tickets, now, m_wall);
     for (const ticket_request &request : result.ticketRequests) {
         requestTickets(request);
     }
@@ -376,7 +376,7 @@
     }
     writeChanged();
     m_writer.whenDurable(
-        [this, placements = result.placements, placedAt = now](instant then) {
+        [this, placements = std::move(result.placements), placedAt = now](instant then) {
             m_log.observe("record_wait", "", then - placedAt);
             sendStarts(placements, then);
         },
