--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -175,6 +175,8 @@
     // Empty if the number of tasks in the image does not match its steps.
     static std::optional<job> fromImage(const wire::job_image &image);
     wire::job_image toImage() const;
+    // Writes the image over the given one, whose memory is used again.
+    void writeImage(wire::job_image &image) const;
 
     const job_request &request() const
     {
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -147,6 +147,8 @@
     std::optional<instant> m_scheduleNeededSince;
     bool m_resigned = false;
     bool m_ownershipLost = false;
+    // The memory of the image that was written last, for the next one.
+    wire::job_image m_image;
     wall_ms m_wall = 0;
     instant m_tickedAt;
     instant m_lastExpiryCheck;
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -20,9 +20,8 @@
 // The end time and the state of a job, which its first image lacks.
 constexpr std::size_t END_BYTES = 16;
 
-wire::step_image toImage(const step_spec &step)
+void writeImage(const step_spec &step, wire::step_image &image)
 {
-    wire::step_image image;
     image.set_count(static_cast<std::uint32_t>(step.count));
     image.set_cpu_millis(step.taskResources.cpuMillis);
     image.set_memory_mb(step.taskResources.memoryMb);
@@ -43,7 +42,6 @@
     image.set_max_per_worker(static_cast<std::uint32_t>(step.maxPerWorker));
     image.set_may_miss(static_cast<std::uint32_t>(step.maxUnavailable));
     image.set_target_ms(step.tailLatencyTarget.count());
-    return image;
 }
 
 step_spec fromImage(const wire::step_image &image)
@@ -68,16 +66,14 @@
     return step;
 }
 
-wire::task_image toImage(const task_progress &task)
+void writeImage(const task_progress &task, wire::task_image &image)
 {
-    wire::task_image image;
     image.set_phase(static_cast<std::uint32_t>(task.phase));
     image.set_run(static_cast<std::uint32_t>(task.run));
     image.set_failures(static_cast<std::uint32_t>(task.failures));
     image.set_checkpoint(task.checkpoint);
     image.set_worker(task.worker);
     image.set_born(task.startTimeMs);
-    return image;
 }
 
 std::size_t taskBytesAtMost(const step_spec &step)
@@ -258,6 +254,13 @@
 wire::job_image job::toImage() const
 {
     wire::job_image image;
+    writeImage(image);
+    return image;
+}
+
+void job::writeImage(wire::job_image &image) const
+{
+    image.Clear();
     image.set_id(m_request.id.text());
     image.set_queue(m_request.queue);
     image.set_team(m_request.team);
@@ -268,11 +271,11 @@
     image.set_ended_ms(m_endedAt);
     image.set_state(static_cast<std::uint32_t>(m_state));
     if (ended() && !hasAssigned()) {
-        return image;
+        return;
     }
     image.set_spec(m_request.spec);
     for (const step_spec &step : m_request.steps) {
-        *image.add_steps() = jujubespool::toImage(step);
+        jujubespool::writeImage(step, *image.add_steps());
     }
     for (const auto &[number, progress] : m_occurrences) {
         wire::occurrence_image &entry = *image.add_occurrences();
@@ -283,11 +286,10 @@
         }
         for (const auto &tasks : progress.steps) {
             for (const task_progress &task : tasks) {
-                *entry.add_tasks() = jujubespool::toImage(task);
+                jujubespool::writeImage(task, *entry.add_tasks());
             }
         }
     }
-    return image;
 }
 
 void job::setState(job_state state, wall_ms now)
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -412,7 +412,11 @@
     for (const job_id &id : m_model.takeChanged()) {
         m_writer.putLazily(ledgerKey(ledger_kind::job, id), [this, id] {
             const job *changed = m_model.find(id);
-            return changed == nullptr ? std::nullopt : std::optional(changed->toImage().SerializeAsString());
+            if (changed == nullptr) {
+                return std::optional<std::string>();
+            }
+            changed->writeImage(m_image);
+            return std::optional(m_image.SerializeAsString());
         });
     }
     for (const job_id &id : m_model.takeEnded()) {
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -434,6 +434,11 @@
     schedule_result result;
     const demand_index &demands = model.demands();
     std::vector<ranked_job> order;
+    std::size_t waitingJobs = 0;
+    for (const auto &[name, pool] : demands.pools()) {
+        waitingJobs += pool.waitingJobs.size();
+    }
+    order.reserve(waitingJobs);
     for (const auto &[name, pool] : demands.pools()) {
         for (job *waiting : pool.waitingJobs) {
             const job_load &load = demands.loadOf(*waiting);
