--- a/packages/core/include/jujubespool/core/interned_name.h
+++ b/packages/core/include/jujubespool/core/interned_name.h
@@ -70,14 +70,6 @@
     {
         return m_entry == nullptr;
     }
-    std::size_t size() const
-    {
-        return text().size();
-    }
-    const char *c_str() const
-    {
-        return text().c_str();
-    }
     // In the order of first use, which is the same on each run; 0 for an empty name.
     std::uint64_t number() const
     {
--- a/packages/jobs/test/job_demand_test.cpp
+++ b/packages/jobs/test/job_demand_test.cpp
@@ -51,7 +51,7 @@
     {
         for (const auto &[id, current] : m_model.activeJobs()) {
             const job restored = job::fromImage(current->toImage()).value();
-            cr_assert(current->demand() == restored.demand(), "seed %lu job %s", seed, id.c_str());
+            cr_assert(current->demand() == restored.demand(), "seed %lu job %s", seed, id.text().c_str());
         }
     }
 
