--- a/packages/jobs/src/team_shares.cpp
+++ b/packages/jobs/src/team_shares.cpp
@@ -32,6 +32,7 @@
 std::map<std::string, double> fairShares(std::int64_t capacityMillis, const std::vector<team_demand> &demands)
 {
     std::vector<weighted_demand> weighted;
+    weighted.reserve(demands.size());
     for (const team_demand &demand : demands) {
         weighted.push_back({ demand.weight, demand.demandMillis });
     }
