--- a/review/standins-2/platform_kit.py
+++ b/review/standins-2/platform_kit.py
@@ -569,6 +569,7 @@
         self.process = subprocess.Popen(MANAGER, cwd=ROOT, env=environment, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
                                         preexec_fn=limit_descriptors)
         log.close()
+        self.deployment.started.add(self)
         self.deployment.record("process-start", node=self.name)
 
     def send_signal(self, number):
@@ -581,6 +582,7 @@
             self.process.kill()
         if self.process is not None:
             self.process.wait()
+        self.deployment.started.discard(self)
 
 
 class Deployment:
@@ -595,7 +597,8 @@
         self.store = Store(record)
         self.fleet = Fleet(record, self.store, self.net + "2")
         self.managers = []
-        self.answers = {}
+        # Managers whose process has not been ended by the play.
+        self.started = set()
 
     async def start_platform(self):
         await self.store.server.start(self.net + "1")
@@ -659,7 +662,7 @@
         return False
 
     async def stop(self):
-        for manager in self.managers:
+        for manager in list(self.started):
             manager.end()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
@@ -677,10 +680,14 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited():
+        # A signal ends the play, which then ends the processes that it started.
+        playing = asyncio.ensure_future(asyncio.wait_for(play(record, trouble), 110))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
-            return await asyncio.wait_for(play(record, trouble), 110)
-        except asyncio.TimeoutError:
-            record("not-run", reason="time")
+            return await playing
+        except (Exception, asyncio.CancelledError) as error:
+            record("not-run", reason=repr(error))
             return 2
 
     code = asyncio.run(limited())
