Log which wave cordons a host and which task keeps it from being emptied

Cause of this commit: the only line, task-waiting reason=workers-cordoned, names neither the wave nor the time nor what the cordon waits for, so that the hypotheses (a cordon that is never taken back, workers avoided after failures, workers that leave their pool, a move order without an answer) could not be told apart from the logs. Change: host-cordoned (wave, host, worker, pool, runs), host-not-emptied (worker, task, reason; at most once in 5 s for each worker) and the counter host_cordons_total by pool. No decision changes.

--- a/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
@@ -71,6 +71,8 @@
     void startMaintenance(wave_progress &progress, const host_entry &host, instant now);
     // Evicts the long-running tasks that may be evicted now. Returns false when one of them fits on no other worker.
     bool evictLongRunningTasks(worker &target, instant now);
+    // Says at most once in a few seconds which task keeps the host from being emptied.
+    void reportBlocked(const worker &target, const task_key &key, instant now);
     bool hasAlternativeWorker(const worker &from, const task_key &key, instant now) const;
     bool canEvict(const task_key &key);
     void publishStatus(wave_progress &progress);
@@ -86,6 +88,8 @@
     instant m_nextStepAt;
     // By pool: number of hosts with long-running tasks that fitted on no other worker at the last tick.
     std::map<std::string, int> m_blockedHosts;
+    // By worker: time before which no line says again that its host cannot be emptied.
+    std::map<std::string, instant> m_nextBlockedReportAt;
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds RUN_END_REPORT_TIME{ 1500 };
 // Each step looks at all hosts of the waves.
 constexpr milliseconds STEP_INTERVAL{ 100 };
+// Minimum time between two lines about a host that cannot be emptied.
+constexpr milliseconds BLOCKED_REPORT_INTERVAL{ 5000 };
 
 } // namespace
 
@@ -165,6 +167,15 @@
     });
     for (const auto &[notCordoned, runs, host] : loaded) {
         worker &target = *m_hosts.workerOn(*host);
+        if (hostsToDrain > 0 && !target.cordoned) {
+            m_log.write("host-cordoned",
+                        { { "wave", std::to_string(progress.wave.number) },
+                          { "host", host->name },
+                          { "worker", target.report.id },
+                          { "pool", target.report.pool },
+                          { "runs", std::to_string(runs) } });
+            m_log.count("host_cordons_total", target.report.pool);
+        }
         target.cordoned = hostsToDrain > 0 || target.cordoned;
         hostsToDrain -= target.cordoned ? 1 : 0;
         if (!evictLongRunningTasks(target, now)) {
@@ -204,6 +215,7 @@
     for (const task_key &key : longRunning) {
         if (!hasAlternativeWorker(target, key, now)) {
             allPlaceable = false;
+            reportBlocked(target, key, now);
         } else if (now >= m_evictNotBefore && canEvict(key)) {
             m_log.write("run-evicted", { { "task", key.text() }, { "worker", target.report.id } });
             m_runs.stop(key);
@@ -212,6 +224,21 @@
     return allPlaceable;
 }
 
+void host_maintenance_controller::reportBlocked(const worker &target, const task_key &key, instant now)
+{
+    instant &nextAt = m_nextBlockedReportAt[target.report.id];
+    if (now < nextAt) {
+        return;
+    }
+    nextAt = now + BLOCKED_REPORT_INTERVAL;
+    m_log.write("host-not-emptied",
+                { { "worker", target.report.id },
+                  { "pool", target.report.pool },
+                  { "cordoned", target.cordoned ? "yes" : "no" },
+                  { "task", key.text() },
+                  { "reason", "no other worker can take the task" } });
+}
+
 bool host_maintenance_controller::hasAlternativeWorker(const worker &from, const task_key &key, instant now) const
 {
     const step_spec &step = m_model.find(key.job)->step(key.step);
