Close a host for maintenance only if it can be emptied, and let each cordon end

Cause: a cordon was a flag that host_maintenance_controller::advanceWave set on as many hosts as the deadline asks for, without asking whether they can be emptied, and that only an order for the host or a new worker took back. Where a long-running task had no other worker, or an ordinary task outlasted the wave, neither came. Nothing asked either what the cordons leave open. And a lasting task without another worker was never stopped, although may_miss allows one to be away, so that the wave could not be carried out even with one host at a time.

Change: a cordon is held by host_cordons and renewed at each step. A host is cordoned only if its ordinary runs end within 5 s by their estimates and its lasting ones fit elsewhere or may be stopped. They are stopped for the length of the maintenance if no further host has arrived in time, within may_miss, once nothing else runs there. While a pool has further workers with the same labels, waves leave one of them open.

Why this works: no closing depends on an event that may never come; the longest wait that a cordon can cause is the 1 s until the waiting step is looked for, 0.25 s between two searches and one pass.

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -36,6 +36,11 @@
     {
         return m_pendingOrders.count(host) > 0;
     }
+    bool isMaintenancePending(const std::string &host) const
+    {
+        const auto order = m_pendingOrders.find(host);
+        return order != m_pendingOrders.end() && order->second.toPool.empty();
+    }
     // The platform has permanently rejected this move.
     bool isMoveRejected(const std::string &host, const std::string &pool) const
     {
--- a/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
@@ -8,9 +8,14 @@
 // number that their jobs allow to be unavailable. A host is then cordoned, its remaining runs end, and only then is
 // its maintenance ordered. No more hosts are drained at once than the deadline requires, and at most the wave's
 // maximum is in maintenance at once.
+//
+// A host is cordoned only if it can be emptied: what ends by itself ends soon by its estimate, and what lasts can run elsewhere or may be
+// away for the length of the maintenance. Cordons end (host_cordons.h). As long as a pool has further workers with the same labels, waves
+// leave one of them open.
 #pragma once
 
 #include <jujubespool/jobs/host_controller.h>
+#include <jujubespool/jobs/host_cordons.h>
 #include <jujubespool/jobs/run_supervisor.h>
 
 namespace jujubespool {
@@ -48,7 +53,8 @@
     void onTakeOver(instant now);
     // Returns the waves whose record has changed since the last call.
     std::map<std::uint64_t, wire::upkeep_image> takeChanged();
-    void tick(instant now, wall_ms wall);
+    // Returns true when workers have been opened to tasks again.
+    bool tick(instant now, wall_ms wall);
     // The host belongs to a wave and its maintenance has not started.
     bool isDueForMaintenance(const std::string &host) const;
     // Number of additional hosts that the pool needs, to take over long-running tasks from hosts that are due for
@@ -67,13 +73,49 @@
         bool publishedCompleted = false;
         bool publishInFlight = false;
     };
-    void advanceWave(wave_progress &progress, instant now, wall_ms wall);
+    // A host that runs something.
+    struct loaded_host
+    {
+        const host_entry *host = nullptr;
+        worker *target = nullptr;
+        // Long-running tasks that fit on no other worker.
+        std::vector<task_key> stranded{};
+    };
+    // The hosts of a wave whose maintenance has not started.
+    struct wave_hosts
+    {
+        int count = 0;
+        // Those that accept orders.
+        std::vector<const host_entry *> idle;
+        std::vector<loaded_host> loaded;
+    };
+    // A task that keeps a host from being emptied at present.
+    struct drain_obstacle
+    {
+        task_key task;
+        std::string_view reason;
+    };
+    wave_hosts hostsLeft(const wave_progress &progress, instant now);
+    // Time until the part of the deadline that is reserved for failures; 0 once it has begun.
+    static milliseconds timeLeft(const wave_progress &progress, wall_ms wall);
+    // The other argument says since when hosts have had long-running tasks that fit on no other worker, by host.
+    void advanceWave(wave_progress &progress, const std::map<std::string, instant> &blockedBefore, instant now, wall_ms wall);
+    void drainHosts(const wave_progress &progress, wave_hosts &left, int inMaintenance, instant now, milliseconds timeLeft);
     void startMaintenance(wave_progress &progress, const host_entry &host, instant now);
-    // Evicts the long-running tasks that may be evicted now. Returns false when one of them fits on no other worker.
-    bool evictLongRunningTasks(worker &target, instant now);
-    // Says at most once in a few seconds which task keeps the host from being emptied.
-    void reportBlocked(const worker &target, const task_key &key, instant now);
+    // All runs of the worker have been told to stop.
+    static bool isBeingEmptied(const worker &target);
+    // Another worker that has the labels and GPUs of this one accepts tasks, or there is none that will be back after its maintenance.
+    bool leavesOneOpen(const host_entry &host, const worker &target, instant now) const;
+    std::optional<drain_obstacle> obstacleOf(const loaded_host &loaded, instant now, milliseconds timeLeft);
+    // Says at most once in a few seconds what keeps the host from being emptied.
+    void reportObstacle(std::uint64_t wave, const loaded_host &loaded, const drain_obstacle &found, instant now);
+    // Evicts the long-running tasks that may be evicted now. Returns those that fit on no other worker.
+    std::vector<task_key> evictLongRunningTasks(worker &target, instant now);
+    // Stops the tasks that fit on no other worker, once nothing else runs on the host. They start again after its maintenance.
+    bool stopStranded(const loaded_host &loaded, instant now);
     bool hasAlternativeWorker(const worker &from, const task_key &key, instant now) const;
+    // Number of tasks of the step, among those that count, that are not at work.
+    int countUnavailable(const task_key &key, const std::function<bool(const task_key &other)> &counts);
     bool canEvict(const task_key &key);
     void publishStatus(wave_progress &progress);
 
@@ -88,8 +130,11 @@
     instant m_nextStepAt;
     // By pool: number of hosts with long-running tasks that fitted on no other worker at the last tick.
     std::map<std::string, int> m_blockedHosts;
-    // By worker: time before which no line says again that its host cannot be emptied.
-    std::map<std::string, instant> m_nextBlockedReportAt;
+    // By host: since when it has long-running tasks that fit on no other worker.
+    std::map<std::string, instant> m_blockedSince;
+    // By host: time before which no line says again what keeps it from being emptied.
+    std::map<std::string, instant> m_nextReportAt;
+    host_cordons m_cordons;
     lifetime m_lifetime;
 };
 
--- a/packages/jobs/include/jujubespool/jobs/placement.h
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -43,6 +43,9 @@
 // True when the worker is listed, ready and polled, and is neither avoided nor cordoned.
 bool acceptsNewTasks(const worker &target, instant now);
 
+// The same without regard to a cordon.
+bool wouldAcceptUncordoned(const worker &target, instant now);
+
 // True when the worker has the required label and one task of the step would fit if nothing else ran there.
 bool fitsWhenEmpty(const worker &target, const step_spec &step);
 
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -127,8 +127,10 @@
     milliseconds avoidBackoff{ 0 };
     // Time at which a start order had no response. A poll that is sent later and answered makes the worker available again.
     std::optional<instant> startUnansweredAt;
-    // The worker gets no new tasks, because its host is about to be maintained or moved.
+    // The worker gets no new tasks, because an order for its host is pending.
     bool cordoned = false;
+    // The worker gets no new tasks before this time, so that its host becomes empty for maintenance (host_cordons.h).
+    instant cordonedUntil;
     // Another pool needs the host more, so the worker is the last choice, and closed to some steps (mayUseLeavingWorkers).
     bool leavingPool = false;
     // The host has to be emptied for maintenance at some time.
@@ -147,6 +149,10 @@
     bool isSuspectedToFailRuns() const;
     // The worker answers polls and is neither avoided nor suspected, or the time has come for a trial.
     bool mayGetTasks(instant now) const;
+    bool isCordoned(instant now) const
+    {
+        return cordoned || now < cordonedUntil;
+    }
     bool hasLabel(const std::string &label) const;
     // Empty if the worker does not report its rack.
     std::string rack() const;
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -20,8 +20,14 @@
 constexpr milliseconds RUN_END_REPORT_TIME{ 1500 };
 // Each step looks at all hosts of the waves.
 constexpr milliseconds STEP_INTERVAL{ 100 };
+// A host is cordoned only if its runs end within this time by their own estimates. The rest of the time that a cordon may last is for
+// estimates that are too low.
+constexpr milliseconds MAX_EXPECTED_DRAIN{ 5000 };
+static_assert(MAX_EXPECTED_DRAIN < MAX_CORDON_TIME);
+// Time in addition to that of a move after which a host that the pool lacks would have arrived and been listed.
+constexpr milliseconds HOST_JOIN_TIME{ 2500 };
 // Minimum time between two lines about a host that cannot be emptied.
-constexpr milliseconds BLOCKED_REPORT_INTERVAL{ 5000 };
+constexpr milliseconds OBSTACLE_REPORT_INTERVAL{ 5000 };
 
 } // namespace
 
@@ -38,6 +44,7 @@
     , m_hosts(hosts)
     , m_status(status)
     , m_log(log)
+    , m_cordons(model, log)
 {
 }
 
@@ -98,34 +105,34 @@
     });
 }
 
-void host_maintenance_controller::tick(instant now, wall_ms wall)
+bool host_maintenance_controller::tick(instant now, wall_ms wall)
 {
     if (now < m_nextStepAt) {
-        return;
+        return false;
     }
     m_nextStepAt = now + STEP_INTERVAL;
     m_blockedHosts.clear();
+    const std::map<std::string, instant> blockedBefore = std::exchange(m_blockedSince, {});
     for (auto &[number, progress] : m_waves) {
         if (progress.received && !progress.publishedCompleted) {
             publishStatus(progress);
             if (m_hosts.listed() && !progress.completed) {
-                advanceWave(progress, now, wall);
+                advanceWave(progress, blockedBefore, now, wall);
             }
         }
     }
+    return m_cordons.endStep(now);
 }
 
-void host_maintenance_controller::advanceWave(wave_progress &progress, instant now, wall_ms wall)
+host_maintenance_controller::wave_hosts host_maintenance_controller::hostsLeft(const wave_progress &progress, instant now)
 {
-    std::vector<const host_entry *> idle;
-    std::vector<std::tuple<bool, std::size_t, const host_entry *>> loaded;
-    int remainingHosts = 0;
+    wave_hosts left;
     for (const std::string &name : progress.wave.hosts) {
         const host_entry *host = m_hosts.find(name);
         if (host == nullptr || progress.started.count(name) > 0) {
             continue;
         }
-        ++remainingHosts;
+        ++left.count;
         worker *target = m_hosts.workerOn(*host);
         if (target != nullptr) {
             target->dueForMaintenance = true;
@@ -134,12 +141,27 @@
             continue;
         }
         if (target == nullptr || target->runs.empty()) {
-            idle.push_back(host);
+            left.idle.push_back(host);
         } else {
-            loaded.emplace_back(!target->cordoned, target->runs.size(), host);
+            left.loaded.push_back({ host, target });
         }
     }
-    if (remainingHosts == 0) {
+    return left;
+}
+
+milliseconds host_maintenance_controller::timeLeft(const wave_progress &progress, wall_ms wall)
+{
+    const auto sinceFirstSeen = milliseconds(wall - std::min(wall, progress.firstSeenAt));
+    const milliseconds deadline = progress.wave.deadline;
+    const milliseconds reserve(static_cast<std::int64_t>(static_cast<double>(deadline.count()) * DEADLINE_RESERVE_SHARE));
+    return std::max(milliseconds(0), deadline - std::max(reserve, MIN_DEADLINE_RESERVE) - sinceFirstSeen);
+}
+
+void host_maintenance_controller::advanceWave(wave_progress &progress, const std::map<std::string, instant> &blockedBefore, instant now,
+                                              wall_ms wall)
+{
+    wave_hosts left = hostsLeft(progress, now);
+    if (left.count == 0) {
         progress.completed = true;
         m_changed.insert(progress.wave.number);
         m_log.write("wave-completed", { { "wave", std::to_string(progress.wave.number) } });
@@ -149,52 +171,150 @@
         return;
     }
     int inMaintenance = m_hosts.countInMaintenance(progress.wave.hosts);
-    for (const host_entry *host : idle) {
-        if (inMaintenance < progress.wave.maximum) {
+    for (const host_entry *host : left.idle) {
+        const worker *target = m_hosts.workerOn(*host);
+        if (inMaintenance < progress.wave.maximum && (target == nullptr || leavesOneOpen(*host, *target, now))) {
             startMaintenance(progress, *host, now);
             ++inMaintenance;
         }
     }
-    const auto sinceFirstSeen = milliseconds(wall - std::min(wall, progress.firstSeenAt));
-    const milliseconds deadline = progress.wave.deadline;
-    const milliseconds reserve(static_cast<std::int64_t>(static_cast<double>(deadline.count()) * DEADLINE_RESERVE_SHARE));
-    const milliseconds timeLeft = std::max(milliseconds(0), deadline - std::max(reserve, MIN_DEADLINE_RESERVE) - sinceFirstSeen);
+    for (loaded_host &loaded : left.loaded) {
+        loaded.stranded = evictLongRunningTasks(*loaded.target, now);
+        if (!loaded.stranded.empty()) {
+            ++m_blockedHosts[loaded.target->report.pool];
+            const auto before = blockedBefore.find(loaded.host->name);
+            m_blockedSince[loaded.host->name] = before == blockedBefore.end() ? now : before->second;
+        }
+    }
+    drainHosts(progress, left, inMaintenance, now, timeLeft(progress, wall));
+}
+
+void host_maintenance_controller::drainHosts(const wave_progress &progress, wave_hosts &left, int inMaintenance, instant now,
+                                             milliseconds timeLeft)
+{
     const milliseconds perHost = m_model.bounds().maintenanceTime + DRAIN_OVERHEAD;
-    int hostsToDrain = hostsNeededAtOnce(remainingHosts, timeLeft, perHost, progress.wave.maximum) - inMaintenance;
-    std::sort(loaded.begin(), loaded.end(), [](const auto &first, const auto &second) {
-        return std::tie(std::get<0>(first), std::get<1>(first), std::get<2>(first)->name)
-            < std::tie(std::get<0>(second), std::get<1>(second), std::get<2>(second)->name);
+    int hostsToDrain = hostsNeededAtOnce(left.count, timeLeft, perHost, progress.wave.maximum) - inMaintenance;
+    const auto order = [this](const loaded_host &loaded) {
+        return std::make_tuple(!m_cordons.isHeld(loaded.host->name), loaded.target->runs.size(), loaded.host->name);
+    };
+    std::sort(left.loaded.begin(), left.loaded.end(),
+              [&order](const loaded_host &first, const loaded_host &second) { return order(first) < order(second); });
+    // Hosts whose last runs are being stopped are empty soon.
+    int outOfService = inMaintenance
+        + static_cast<int>(std::count_if(left.loaded.begin(), left.loaded.end(),
+                                         [](const loaded_host &loaded) { return isBeingEmptied(*loaded.target); }));
+    for (loaded_host &loaded : left.loaded) {
+        const std::string &name = loaded.host->name;
+        const bool held = m_cordons.isHeld(name);
+        if (!held && (hostsToDrain <= 0 || !m_cordons.mayBegin(name, now))) {
+            continue;
+        }
+        const std::optional<drain_obstacle> found = obstacleOf(loaded, now, timeLeft);
+        if (found) {
+            reportObstacle(progress.wave.number, loaded, *found, now);
+            continue;
+        }
+        if (!held && !leavesOneOpen(*loaded.host, *loaded.target, now)) {
+            continue;
+        }
+        m_cordons.hold(name, *loaded.target, progress.wave.number, now);
+        --hostsToDrain;
+        if (!loaded.stranded.empty() && outOfService < progress.wave.maximum && stopStranded(loaded, now)) {
+            ++outOfService;
+        }
+    }
+}
+
+bool host_maintenance_controller::isBeingEmptied(const worker &target)
+{
+    return std::all_of(target.runs.begin(), target.runs.end(), [](const auto &entry) { return entry.second.stopping; });
+}
+
+bool host_maintenance_controller::leavesOneOpen(const host_entry &host, const worker &target, instant now) const
+{
+    const auto holdsTheSame = [&target](const std::vector<std::string> &labels, const resources &capacity) {
+        const auto has = [&labels](const std::string &label) {
+            return std::find(labels.begin(), labels.end(), label) != labels.end();
+        };
+        return capacity.gpus >= target.report.capacity.gpus
+            && std::all_of(target.report.labels.begin(), target.report.labels.end(),
+                           [&](const std::string &label) { return label == target.rack() || has(label); });
+    };
+    const std::vector<worker *> &workers = m_model.workers().inPool(target.report.pool);
+    const bool anotherIsOpen = std::any_of(workers.begin(), workers.end(), [&](const worker *other) {
+        m_model.countWorkersExamined(1);
+        return other != &target && acceptsNewTasks(*other, now) && holdsTheSame(other->report.labels, other->report.capacity);
     });
-    for (const auto &[notCordoned, runs, host] : loaded) {
-        worker &target = *m_hosts.workerOn(*host);
-        if (hostsToDrain > 0 && !target.cordoned) {
-            m_log.write("host-cordoned",
-                        { { "wave", std::to_string(progress.wave.number) },
-                          { "host", host->name },
-                          { "worker", target.report.id },
-                          { "pool", target.report.pool },
-                          { "runs", std::to_string(runs) } });
-            m_log.count("host_cordons_total", target.report.pool);
+    // If there is no other one of the kind, or none that maintenance keeps from work, waiting does not help.
+    return anotherIsOpen || std::none_of(m_hosts.hosts().begin(), m_hosts.hosts().end(), [&](const auto &entry) {
+               const host_entry &other = entry.second;
+               const bool returns
+                   = other.state == host_condition::maintenance || m_cordons.isHeld(other.name) || m_hosts.isMaintenancePending(other.name);
+               return other.name != host.name && other.pool == host.pool && returns && holdsTheSame(other.labels, other.capacity);
+           });
+}
+
+std::optional<host_maintenance_controller::drain_obstacle> host_maintenance_controller::obstacleOf(const loaded_host &loaded, instant now,
+                                                                                                   milliseconds timeLeft)
+{
+    const worker &target = *loaded.target;
+    for (const auto &[key, run] : target.runs) {
+        const step_spec &step = m_model.find(key.job)->step(key.step);
+        const instant began = run.confirmed ? run.confirmedAt : run.placedAt;
+        if (!step.longRunning && !run.stopping && began + step.estimated > now + MAX_EXPECTED_DRAIN) {
+            return drain_obstacle{ key, "the task takes too long by its estimate" };
         }
-        target.cordoned = hostsToDrain > 0 || target.cordoned;
-        hostsToDrain -= target.cordoned ? 1 : 0;
-        if (!evictLongRunningTasks(target, now)) {
-            ++m_blockedHosts[target.report.pool];
+    }
+    const auto blockedSince = m_blockedSince.find(loaded.host->name);
+    const bool othersMayArrive
+        = blockedSince != m_blockedSince.end() && now - blockedSince->second < m_model.bounds().moveTime + HOST_JOIN_TIME;
+    for (const task_key &key : loaded.stranded) {
+        const step_spec &step = m_model.find(key.job)->step(key.step);
+        if (othersMayArrive || step.gang) {
+            return drain_obstacle{ key, "no other worker can take the task" };
+        }
+        const int away = countUnavailable(key, [&target](const task_key &other) { return target.runs.count(other) == 0; });
+        const int here = target.countTasks(key.job, key.occurrence, key.step);
+        const bool mayStop = step.maxUnavailable > 0 ? away + here <= step.maxUnavailable : away == 0 || timeLeft.count() == 0;
+        if (!mayStop) {
+            return drain_obstacle{ key, "too many tasks of the step would be unavailable" };
         }
     }
+    return std::nullopt;
+}
+
+bool host_maintenance_controller::stopStranded(const loaded_host &loaded, instant now)
+{
+    const auto lasts = [](const auto &entry) {
+        return entry.second.longRunning || entry.second.stopping;
+    };
+    if (now < m_evictNotBefore || !std::all_of(loaded.target->runs.begin(), loaded.target->runs.end(), lasts)
+        || isBeingEmptied(*loaded.target)) {
+        return false;
+    }
+    for (const task_key &key : loaded.stranded) {
+        m_log.write("run-evicted", { { "task", key.text() }, { "worker", loaded.target->report.id }, { "until", "maintained" } });
+        m_runs.stop(key);
+    }
+    return true;
 }
 
 void host_maintenance_controller::startMaintenance(wave_progress &progress, const host_entry &host, instant now)
 {
-    m_hosts.startMaintenance(host.name, progress.wave.number,
-                             m_lifetime.guard([this, wave = progress.wave.number, name = host.name](host_order_status status, instant) {
-                                 if (status == host_order_status::done || status == host_order_status::wrong_wave
-                                     || status == host_order_status::invalid) {
-                                     m_waves[wave].started.insert(name);
-                                     m_changed.insert(wave);
-                                 }
-                             }),
-                             now);
+    m_cordons.endEmptied(host.name, now);
+    m_hosts.startMaintenance(
+        host.name, progress.wave.number,
+        m_lifetime.guard([this, wave = progress.wave.number, name = host.name](host_order_status status, instant then) {
+            if (status != host_order_status::done) {
+                // What was stopped for the order starts again, and is not stopped at once for the next one.
+                m_cordons.pause(name, then);
+            }
+            if (status == host_order_status::done || status == host_order_status::wrong_wave || status == host_order_status::invalid) {
+                m_waves[wave].started.insert(name);
+                m_changed.insert(wave);
+            }
+        }),
+        now);
 }
 
 int host_maintenance_controller::additionalHostsNeeded(const std::string &pool) const
@@ -203,7 +323,7 @@
     return found == m_blockedHosts.end() ? 0 : std::min(found->second, MAX_ADDITIONAL_HOSTS);
 }
 
-bool host_maintenance_controller::evictLongRunningTasks(worker &target, instant now)
+std::vector<task_key> host_maintenance_controller::evictLongRunningTasks(worker &target, instant now)
 {
     std::vector<task_key> longRunning;
     for (const auto &[key, run] : target.runs) {
@@ -211,32 +331,32 @@
             longRunning.push_back(key);
         }
     }
-    bool allPlaceable = true;
+    std::vector<task_key> stranded;
     for (const task_key &key : longRunning) {
         if (!hasAlternativeWorker(target, key, now)) {
-            allPlaceable = false;
-            reportBlocked(target, key, now);
+            stranded.push_back(key);
         } else if (now >= m_evictNotBefore && canEvict(key)) {
-            m_log.write("run-evicted", { { "task", key.text() }, { "worker", target.report.id } });
+            m_log.write("run-evicted", { { "task", key.text() }, { "worker", target.report.id }, { "until", "placed-elsewhere" } });
             m_runs.stop(key);
         }
     }
-    return allPlaceable;
+    return stranded;
 }
 
-void host_maintenance_controller::reportBlocked(const worker &target, const task_key &key, instant now)
+void host_maintenance_controller::reportObstacle(std::uint64_t wave, const loaded_host &loaded, const drain_obstacle &found, instant now)
 {
-    instant &nextAt = m_nextBlockedReportAt[target.report.id];
+    instant &nextAt = m_nextReportAt[loaded.host->name];
     if (now < nextAt) {
         return;
     }
-    nextAt = now + BLOCKED_REPORT_INTERVAL;
+    nextAt = now + OBSTACLE_REPORT_INTERVAL;
     m_log.write("host-not-emptied",
-                { { "worker", target.report.id },
-                  { "pool", target.report.pool },
-                  { "cordoned", target.cordoned ? "yes" : "no" },
-                  { "task", key.text() },
-                  { "reason", "no other worker can take the task" } });
+                { { "wave", std::to_string(wave) },
+                  { "host", loaded.host->name },
+                  { "worker", loaded.target->report.id },
+                  { "pool", loaded.target->report.pool },
+                  { "task", found.task.text() },
+                  { "reason", std::string(found.reason) } });
 }
 
 bool host_maintenance_controller::hasAlternativeWorker(const worker &from, const task_key &key, instant now) const
@@ -250,18 +370,21 @@
     });
 }
 
-bool host_maintenance_controller::canEvict(const task_key &key)
+int host_maintenance_controller::countUnavailable(const task_key &key, const std::function<bool(const task_key &other)> &counts)
 {
-    job &owningJob = *m_model.find(key.job);
-    const step_spec &step = owningJob.step(key.step);
-    if (step.maxUnavailable == 0) {
-        return true;
-    }
+    const step_spec &step = m_model.find(key.job)->step(key.step);
     int unavailable = 0;
     for (task_key other = { key.job, key.occurrence, key.step, 0 }; other.index < step.count; ++other.index) {
-        unavailable += other.index != key.index && !m_model.isAtFullSpeed(other) ? 1 : 0;
+        unavailable += counts(other) && !m_model.isAtFullSpeed(other) ? 1 : 0;
     }
-    return unavailable < step.maxUnavailable;
+    return unavailable;
+}
+
+bool host_maintenance_controller::canEvict(const task_key &key)
+{
+    const step_spec &step = m_model.find(key.job)->step(key.step);
+    return step.maxUnavailable == 0
+        || countUnavailable(key, [&key](const task_key &other) { return other.index != key.index; }) < step.maxUnavailable;
 }
 
 void host_maintenance_controller::publishStatus(wave_progress &progress)
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -290,7 +290,9 @@
     if (!m_resigned) {
         m_hostController.refresh(now);
         if (storeUnresponsiveFor(now) < STORE_SILENT_BEFORE_HOSTS_STAY) {
-            m_hostMaintenance.tick(now, wall);
+            if (m_hostMaintenance.tick(now, wall)) {
+                requestSchedule(now);
+            }
             m_poolRebalancer.tick(now, wall);
         }
     }
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -57,8 +57,12 @@
 
 bool acceptsNewTasks(const worker &target, instant now)
 {
-    return target.listed && target.report.state == worker_state::ready && target.polled && target.clockKnown && !target.cordoned
-        && target.mayGetTasks(now);
+    return !target.isCordoned(now) && wouldAcceptUncordoned(target, now);
+}
+
+bool wouldAcceptUncordoned(const worker &target, instant now)
+{
+    return target.listed && target.report.state == worker_state::ready && target.polled && target.clockKnown && target.mayGetTasks(now);
 }
 
 bool canHoldBesideLongRunningTasks(const worker &target, const step_spec &step)
--- a/packages/jobs/src/pool_rebalancer.cpp
+++ b/packages/jobs/src/pool_rebalancer.cpp
@@ -149,7 +149,7 @@
         const bool unused = target == nullptr ? found->second.standby : target->runs.empty();
         const bool isFree = m_hosts.acceptsOrders(host, now) && unused;
         // A worker that is cordoned, does not answer or is avoided provides no capacity.
-        const bool unusable = target != nullptr && (target->cordoned || !target->mayGetTasks(now));
+        const bool unusable = target != nullptr && (target->isCordoned(now) || !target->mayGetTasks(now));
         const bool hasLongRunning = target != nullptr
             && std::any_of(target->runs.begin(), target->runs.end(), [](const auto &entry) { return entry.second.longRunning; });
         if (!draining && !unusable) {
--- a/packages/jobs/src/wait_reason.cpp
+++ b/packages/jobs/src/wait_reason.cpp
@@ -35,7 +35,7 @@
 }
 
 // Why a worker for which acceptsNewTasks is false gets no tasks.
-wait_reason reasonForNoTasks(const worker &target)
+wait_reason reasonForNoTasks(const worker &target, instant now)
 {
     if (!target.listed || target.report.state != worker_state::ready) {
         return wait_reason::workers_not_listed;
@@ -43,7 +43,7 @@
     if (!target.polled || !target.clockKnown) {
         return wait_reason::workers_not_polled;
     }
-    if (target.cordoned) {
+    if (target.isCordoned(now)) {
         return wait_reason::workers_cordoned;
     }
     if (target.unansweredPolls > 0) {
@@ -133,7 +133,7 @@
     {
         std::map<wait_reason, int> counts;
         for (const worker *target : m_excluded) {
-            ++counts[reasonForNoTasks(*target)];
+            ++counts[reasonForNoTasks(*target, m_now)];
         }
         const auto isFewer = [](const auto &left, const auto &right) {
             return left.second < right.second;
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -242,11 +242,19 @@
     // host_gateway, policy_gateway, wave_status_publisher
     void list(std::function<void(const host_list &, instant now)> done) override
     {
+        if (platform.hostServiceDown) {
+            answer(LATENCY, host_list{ std::nullopt, { failure_step::control, "hosts", "no answer" } }, done);
+            return;
+        }
         answer(LATENCY, host_list{ platform.hosts, {} }, done);
     }
     void move(const host_order &order, const std::string &pool, host_gateway::order_callback done) override
     {
         platform.hostOrders.emplace_back(order.holder, order.host);
+        if (platform.hostAnswersLost) {
+            answer(LATENCY, host_order_result{ host_order_status::unknown, {} }, done);
+            return;
+        }
         if (platform.moveTime.count() > 0) {
             answer(LATENCY, host_order_result{ platform.moveHost(order.host, pool), {} }, done);
             return;
@@ -256,9 +264,11 @@
         }
         answer(LATENCY, host_order_result{ host_order_status::done, {} }, done);
     }
-    void startMaintenance(const host_order &, std::uint64_t, host_gateway::order_callback done) override
+    void startMaintenance(const host_order &order, std::uint64_t wave, host_gateway::order_callback done) override
     {
-        answer(LATENCY, host_order_result{ host_order_status::done, {} }, done);
+        const bool effective = platform.maintenanceTime.count() > 0;
+        const host_order_status status = effective ? platform.maintainHost(order.host, wave) : host_order_status::done;
+        answer(LATENCY, host_order_result{ status, {} }, done);
     }
     void requestTickets(const std::string &step, const std::vector<std::string> &workers,
                         std::function<void(const ticket_response &, instant now)> done) override
@@ -300,8 +310,11 @@
     {
         return authorization;
     }
-    operator_entry parseOperatorEntry(const ledger_entry &) const override
+    operator_entry parseOperatorEntry(const ledger_entry &entry) const override
     {
+        if (entry.key != "config") {
+            return { nullptr, platform.m_waves.at(std::stoull(entry.key)), {} };
+        }
         return { platform.m_config, std::nullopt, {} };
     }
     std::optional<worker_report> parseWorkerEntry(const ledger_entry &entry) const override
@@ -438,6 +451,12 @@
     m_feeds[feed::operators].push_back({ "config", "new" });
 }
 
+void fake_platform::publishWave(const host_maintenance_wave &wave)
+{
+    m_waves[wave.number] = wave;
+    m_feeds[feed::operators].push_back({ std::to_string(wave.number), "new" });
+}
+
 platform_clients fake_platform::clientsOf(const std::string &process)
 {
     std::unique_ptr<fake_process> &entry = m_processes[process];
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -130,6 +130,21 @@
     milliseconds gangWait{ 3000 };
     // Time until a moved host has a new worker; without it, a move keeps the worker.
     milliseconds moveTime{ 0 };
+    // Time until a host whose maintenance was ordered has a new worker; without it, an order is answered and has no effect.
+    milliseconds maintenanceTime{ 0 };
+    // Publishes a maintenance wave, or another version of it.
+    void publishWave(const host_maintenance_wave &wave);
+    // Hosts of the wave whose maintenance has begun.
+    const std::set<std::string> &maintained(std::uint64_t wave)
+    {
+        return m_maintained[wave];
+    }
+    // Stops and maintenance orders have to leave as many tasks of a step that lasts at work as the step demands. Only for plays in which
+    // nobody cancels such a job and no worker fails.
+    bool checksAvailability = false;
+    // The answers to orders for hosts are lost, and whether the host service answers at all.
+    bool hostAnswersLost = false;
+    bool hostServiceDown = false;
     // The store refuses appends with a larger record; 0 for no limit.
     std::size_t maxRecordBytes = 0;
     // Everything that runs on the worker is gone, and it answers nothing.
@@ -207,6 +222,13 @@
     task_key checkpointOwner(const task_key &key) const;
     ticket_response ticketsFor(const std::string &step, const std::vector<std::string> &workers);
     host_order_status moveHost(const std::string &name, const std::string &pool);
+    host_order_status maintainHost(const std::string &name, std::uint64_t wave);
+    host_entry *findHost(const std::string &name);
+    // Gives the host, which was away, a worker of its pool.
+    void addWorkerOn(const std::string &host);
+    void checkMaintenance(const host_entry &host, std::uint64_t wave);
+    // Checks that the run may be ended by an order although it lasts.
+    void checkAvailability(const task_key &key);
 
     instant m_now;
     std::uint64_t m_nextEventNumber = 0;
@@ -229,6 +251,8 @@
     std::map<std::string, instant> m_ticketsIssuedAt;
     std::map<std::string, queue_config> m_knownQueues;
     int m_movedWorkers = 0;
+    std::map<std::uint64_t, host_maintenance_wave> m_waves;
+    std::map<std::uint64_t, std::set<std::string>> m_maintained;
     std::vector<std::string> m_violations;
     int m_doneRuns = 0;
     std::shared_ptr<const fleet_config> m_config;
--- a/packages/manager/test/fake_platform_jobs.cpp
+++ b/packages/manager/test/fake_platform_jobs.cpp
@@ -295,6 +295,9 @@
 
 void fake_platform::stopRun(fake_worker &target, const task_key &key)
 {
+    if (!target.running.at(key).stopping) {
+        checkAvailability(key);
+    }
     if (stopTime.count() == 0) {
         endRun(target, key, run_outcome::stopped);
         return;
@@ -346,10 +349,31 @@
     return text;
 }
 
-host_order_status fake_platform::moveHost(const std::string &name, const std::string &pool)
+host_entry *fake_platform::findHost(const std::string &name)
 {
     const auto found = std::find_if(hosts.begin(), hosts.end(), [&](const host_entry &host) { return host.name == name; });
-    if (found == hosts.end()) {
+    return found == hosts.end() ? nullptr : &*found;
+}
+
+void fake_platform::addWorkerOn(const std::string &host)
+{
+    host_entry &returned = *findHost(host);
+    returned.state = host_condition::up;
+    const auto config = m_config->pools.find(returned.pool);
+    if (config != m_config->pools.end() && config->second.standby) {
+        return;
+    }
+    returned.worker = "moved-" + std::string(static_cast<std::size_t>(m_movedWorkers % 3), 'x') + std::to_string(m_movedWorkers);
+    ++m_movedWorkers;
+    fake_worker &added = addWorker(returned.worker, returned.pool, returned.capacity);
+    added.report.labels = returned.labels;
+    added.report.dataCenter = returned.dataCenter;
+}
+
+host_order_status fake_platform::moveHost(const std::string &name, const std::string &pool)
+{
+    host_entry *found = findHost(name);
+    if (found == nullptr) {
         return host_order_status::invalid;
     }
     if (found->pool == pool) {
@@ -365,22 +389,74 @@
     found->worker.clear();
     found->state = host_condition::moving;
     found->pool = pool;
-    after(moveTime, [this, name, pool](instant) {
-        host_entry &moved = *std::find_if(hosts.begin(), hosts.end(), [&](const host_entry &host) { return host.name == name; });
-        moved.state = host_condition::up;
-        const auto config = m_config->pools.find(pool);
-        if (config != m_config->pools.end() && config->second.standby) {
-            return;
-        }
-        moved.worker = "moved-" + std::string(static_cast<std::size_t>(m_movedWorkers % 3), 'x') + std::to_string(m_movedWorkers);
-        ++m_movedWorkers;
-        fake_worker &added = addWorker(moved.worker, pool, moved.capacity);
-        added.report.labels = moved.labels;
-        added.report.dataCenter = moved.dataCenter;
-    });
+    after(moveTime, [this, name](instant) { addWorkerOn(name); });
+    return host_order_status::done;
+}
+
+host_order_status fake_platform::maintainHost(const std::string &name, std::uint64_t wave)
+{
+    host_entry *found = findHost(name);
+    if (found == nullptr) {
+        return host_order_status::invalid;
+    }
+    if (m_maintained[wave].count(name) > 0) {
+        return host_order_status::done;
+    }
+    if (found->state != host_condition::up) {
+        return host_order_status::busy;
+    }
+    checkMaintenance(*found, wave);
+    if (!found->worker.empty()) {
+        crashWorker(found->worker);
+        unlistWorker(found->worker);
+    }
+    found->worker.clear();
+    found->state = host_condition::maintenance;
+    m_maintained[wave].insert(name);
+    after(maintenanceTime, [this, name](instant) { addWorkerOn(name); });
     return host_order_status::done;
 }
 
+void fake_platform::checkMaintenance(const host_entry &host, std::uint64_t wave)
+{
+    const std::vector<std::string> &names = m_waves.at(wave).hosts;
+    const auto away = std::count_if(hosts.begin(), hosts.end(), [&](const host_entry &other) {
+        return other.state == host_condition::maintenance && std::count(names.begin(), names.end(), other.name) > 0;
+    });
+    if (away >= m_waves.at(wave).maximum) {
+        m_violations.push_back("maintenance of " + host.name + " begins beside " + std::to_string(away) + " others of its wave");
+    }
+    if (host.worker.empty()) {
+        return;
+    }
+    for (const auto &[key, run] : m_workers.at(host.worker).running) {
+        const step_spec *step = requestedStep(key);
+        if (checksAvailability && step != nullptr && !step->longRunning) {
+            m_violations.push_back("maintenance of " + host.name + " cuts " + key.text());
+        }
+        checkAvailability(key);
+    }
+}
+
+void fake_platform::checkAvailability(const task_key &key)
+{
+    const step_spec *step = requestedStep(key);
+    if (!checksAvailability || step == nullptr || !step->longRunning || step->maxUnavailable == 0) {
+        return;
+    }
+    int away = 0;
+    for (task_key other = { key.job, key.occurrence, key.step, 0 }; other.index < step->count; ++other.index) {
+        const bool atWork = std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
+            const auto run = entry.second.running.find(other);
+            return run != entry.second.running.end() && !run->second.stopping;
+        });
+        away += other.index != key.index && !atWork ? 1 : 0;
+    }
+    if (away >= step->maxUnavailable) {
+        m_violations.push_back(key.text() + " is ended by an order while " + std::to_string(away) + " others of its step are away");
+    }
+}
+
 int fake_platform::doneEnds(const task_key &key) const
 {
     const auto found = m_doneEnds.find(key);
--- a/packages/manager/test/liveness_test.cpp
+++ b/packages/manager/test/liveness_test.cpp
@@ -1345,8 +1345,8 @@
         for (const auto &[id, target] : state.workers().all()) {
             found.push_back(fmt::format("  worker {} pool {} listed {} polled {} avoided {} used {} of {} runs {} cordoned {} leaving {}",
                                         id, target.report.pool, target.listed, target.polled, target.avoidUntil > m_platform.now(),
-                                        target.used.cpuMillis, target.report.capacity.cpuMillis, target.runs.size(), target.cordoned,
-                                        target.leavingPool));
+                                        target.used.cpuMillis, target.report.capacity.cpuMillis, target.runs.size(),
+                                        target.isCordoned(m_platform.now()), target.leavingPool));
         }
     }
 
