Liveness test: waves of maintenance, lasting tasks on each host, tasks that outlast a deadline

Four families: waves, with gangs, with changes and outages of the owner, with moves of hosts. A wave names all hosts of a pool or some, its maximum is below, at or above their number, its deadline has passed for the late jobs; half of the jobs whose tasks take 20 to 40 s underestimate them. The check is LOST's own sentence: 3 s without anything of the job at work, room for twice the task on workers that are up, less than half of the pool's CPU in use; for a task that lasts, from 6 s after its last run. Besides, each host of each wave has to be maintained in the end, and in plays without faults no order cuts a task that ends or goes beyond may_miss.

Ruled out while writing it: tasks of a wide step that wait for cordoned workers while others of the job run were flagged at first; the rule speaks of a job that has nothing running.

--- a/packages/manager/test/liveness_test.cpp
+++ b/packages/manager/test/liveness_test.cpp
@@ -43,6 +43,8 @@
     late_jobs,
     large_fleet,
     many_small_tasks,
+    // Waves of maintenance, lasting tasks on each host, and tasks that outlast a deadline.
+    waves,
     count
 };
 
@@ -84,12 +86,32 @@
 
 template <> struct enum_names<shape>
 {
-    static constexpr std::array<std::string_view, 25> NAMES{
-        "dependencies",   "gangs",     "rack-gangs",  "labels",          "data-racks",  "worker-maximums", "best-effort",
-        "long-running",   "recurring", "policies",    "teams",           "checkpoints", "few-attempts",    "sometimes-failing",
-        "always-failing", "oversized", "two-pools",   "host-moves",      "cancels",     "relays",          "peers",
-        "large-gangs",    "late-jobs", "large-fleet", "many-small-tasks"
-    };
+    static constexpr std::array<std::string_view, 26> NAMES{ "dependencies",
+                                                             "gangs",
+                                                             "rack-gangs",
+                                                             "labels",
+                                                             "data-racks",
+                                                             "worker-maximums",
+                                                             "best-effort",
+                                                             "long-running",
+                                                             "recurring",
+                                                             "policies",
+                                                             "teams",
+                                                             "checkpoints",
+                                                             "few-attempts",
+                                                             "sometimes-failing",
+                                                             "always-failing",
+                                                             "oversized",
+                                                             "two-pools",
+                                                             "host-moves",
+                                                             "cancels",
+                                                             "relays",
+                                                             "peers",
+                                                             "large-gangs",
+                                                             "late-jobs",
+                                                             "large-fleet",
+                                                             "many-small-tasks",
+                                                             "waves" };
 };
 
 template <> struct enum_names<fault>
@@ -118,6 +140,10 @@
 constexpr milliseconds MAX_WAIT{ 3000 };
 // Each run is shorter than this, so something ends in this time as long as anything runs that ends by itself.
 constexpr milliseconds MAX_TIME_WITHOUT_END{ 8000 };
+// Some runs are longer in a play with waves, but shorter than this.
+constexpr milliseconds MAX_LONG_RUN{ 40000 };
+// A task that lasts may be away for this long after its last run before it counts as waiting.
+constexpr milliseconds RESTART_TIME{ 6000 };
 constexpr milliseconds DRAINING_TIME{ 90000 };
 // Late jobs are submitted in this time after the fleet has settled.
 constexpr milliseconds LATE_WINDOW{ 8000 };
@@ -186,6 +212,12 @@
     bool cancelled = false;
 };
 
+struct planned_wave
+{
+    host_maintenance_wave wave;
+    milliseconds at{ 0 };
+};
+
 struct planned_fault
 {
     fault kind = fault::store_down;
@@ -256,6 +288,7 @@
         planFleet();
         planJobs();
         planFaults();
+        planWaves();
     }
 
     // Returns what is wrong at the end, one line each.
@@ -267,7 +300,7 @@
         const instant settledAt = m_platform.now() + milliseconds(numberFrom("JUJUBESPOOL_SETTLING_MS", SETTLING_TIME_MS));
         m_progressAt = has(shape::late_jobs) ? m_platform.now() + milliseconds(SETTLING_TIME_MS) + LATE_WINDOW : settledAt;
         const instant end = m_progressAt + DRAINING_TIME;
-        while (m_platform.now() < end && m_stuck.empty() && !(allSettled() && booksAgree()) && progresses()) {
+        while (m_platform.now() < end && m_stuck.empty() && !(allSettled() && booksAgree() && wavesDone()) && progresses()) {
             m_platform.advance(CHECK_INTERVAL);
             if (m_platform.now() >= settledAt) {
                 watchTasks();
@@ -291,7 +324,7 @@
         }
         m_progressAt = ends == m_ends ? m_progressAt : std::max(m_progressAt, m_platform.now());
         m_ends = ends;
-        return m_platform.now() < m_progressAt + MAX_TIME_WITHOUT_END;
+        return m_platform.now() < m_progressAt + MAX_TIME_WITHOUT_END + (has(shape::waves) ? MAX_LONG_RUN : milliseconds(0));
     }
 
     // The fleet
@@ -329,19 +362,52 @@
             m_config.teams["large"] = { "large", 2, {} };
             m_config.keys = { { "small-key", "small" }, { "large-key", "large" } };
         }
-        if (has(shape::host_moves)) {
+        if (has(shape::host_moves) || has(shape::waves)) {
             planHosts();
         }
         m_allQueues = m_config.queues;
         m_platform.setConfig(m_config);
         m_platform.runTime = [this](const task_key &key) {
-            return milliseconds(100 + static_cast<int>(hashOf(m_seed, "time" + key.text()) % 1500));
+            const auto hash = static_cast<std::int64_t>(hashOf(m_seed, "time" + key.text()));
+            const bool isLong = m_longJobs.count(key.job.text()) > 0;
+            return isLong ? MAX_LONG_RUN / 2 + milliseconds(std::abs(hash) % (MAX_LONG_RUN.count() / 2))
+                          : milliseconds(100 + static_cast<int>(static_cast<std::uint64_t>(hash) % 1500));
         };
         m_platform.policyAllows = [this](const std::string &step, const std::string &worker) {
             return worker == m_workers[0] || worker == m_workers[1] || hashOf(m_seed, "policy" + step + worker) % 3 != 0;
         };
     }
 
+    // One or two waves, of which the second may name the same hosts.
+    void planWaves()
+    {
+        random_source random(mixed(m_seed, "waves"));
+        const int count = has(shape::waves) ? between(random, 1, 2) : 0;
+        for (int i = 0; i < count; ++i) {
+            planned_wave planned;
+            planned.wave.number = static_cast<std::uint64_t>(i) + 1;
+            const bool all = chance(random, 60);
+            for (const host_entry &host : m_platform.hosts) {
+                if (host.pool == "pool" && (all || chance(random, 60))) {
+                    planned.wave.hosts.push_back(host.name);
+                }
+            }
+            planned.wave.maximum = between(random, 1, static_cast<int>(m_workers.size()) + 1);
+            planned.wave.deadline = seconds(between(random, 4, 30));
+            planned.at = milliseconds(between(random, 500, 20000));
+            m_waves.push_back(planned);
+        }
+        m_platform.maintenanceTime = seconds(count > 0 ? 2 : 0);
+        m_platform.checksAvailability = count > 0 && m_enabled.faults.empty();
+    }
+
+    bool wavesDone()
+    {
+        return std::all_of(m_waves.begin(), m_waves.end(), [this](const planned_wave &planned) {
+            return m_platform.maintained(planned.wave.number).size() == planned.wave.hosts.size();
+        });
+    }
+
     void planHosts()
     {
         m_config.pools["off"] = { "off", true, true, {} };
@@ -349,6 +415,9 @@
             m_platform.hosts.push_back({ "host-of-" + id, target.report.pool, host_condition::up, target.report.dataCenter,
                                          target.report.labels, target.report.capacity, id });
         }
+        if (!has(shape::host_moves)) {
+            return;
+        }
         for (const char *name : { "spare-1", "spare-2" }) {
             m_platform.hosts.push_back({ name, "off", host_condition::up, "a", { "kind", "r1", "special" }, { 6000, 6000, 0 }, {} });
         }
@@ -397,6 +466,8 @@
             if (lasts) {
                 ++lasting;
                 makeLasting(own, planned);
+            } else if (has(shape::waves) && chance(own, 15)) {
+                makeLong(own, planned);
             }
             m_platform.requests[planned.request.id] = planned.request;
             m_jobs.push_back(planned);
@@ -494,6 +565,19 @@
         return step;
     }
 
+    // The tasks outlast a deadline, and often their own estimate.
+    void makeLong(random_source &own, planned_job &planned)
+    {
+        step_spec step;
+        step.count = between(own, 1, static_cast<int>(m_workers.size()));
+        step.taskResources = { 500, 200, 0 };
+        step.maxPerWorker = has(shape::two_pools) ? 0 : 1;
+        step.estimated = chance(own, 50) ? MAX_LONG_RUN : milliseconds(500);
+        planned.request.steps = { step };
+        planned.request.repeatCount = 0;
+        m_longJobs.insert(planned.request.id.text());
+    }
+
     void makeLasting(random_source &own, planned_job &planned)
     {
         step_spec step;
@@ -507,6 +591,11 @@
         step.maxUnavailable = between(own, 0, 1);
         step.maxPerWorker = between(own, 0, 1);
         step.bestEffort = has(shape::best_effort) && chance(own, 30);
+        if (has(shape::waves)) {
+            step.count = chance(own, 70) ? static_cast<int>(m_workers.size()) - (has(shape::two_pools) ? 4 : 0) : step.count;
+            step.maxPerWorker = 1;
+            planned.cancelAfter.reset();
+        }
         planned.submitAt = has(shape::large_fleet) ? milliseconds(600) : planned.submitAt;
         planned.request.steps = { step };
         planned.request.repeatCount = 0;
@@ -560,6 +649,9 @@
                 m_platform.clientsOf(HELPER_NODE).workers, m_platform, m_log,
                 [this](std::uint64_t to, wire::peer_message message, instant) { deliverResults(to, std::move(message)); });
         }
+        for (const planned_wave &planned : m_waves) {
+            m_platform.after(planned.at, [this, &planned](instant) { m_platform.publishWave(planned.wave); });
+        }
         beginSession();
         elect();
     }
@@ -715,7 +807,7 @@
 
     bool hasHost(const std::string &id) const
     {
-        return !has(shape::host_moves)
+        return (!has(shape::host_moves) && !has(shape::waves))
             || std::any_of(m_platform.hosts.begin(), m_platform.hosts.end(), [&](const host_entry &host) { return host.worker == id; });
     }
 
@@ -1142,15 +1234,42 @@
         }
     }
 
+    // Whether a task of the job is at work. The tasks of a wide step may then wait for a wave.
+    bool runsAnything(const job_id &id) const
+    {
+        return std::any_of(m_platform.workers().begin(), m_platform.workers().end(), [&id](const auto &entry) {
+            const auto &running = entry.second.running;
+            return std::any_of(running.begin(), running.end(), [&id](const auto &run) { return run.first.job == id; });
+        });
+    }
+
+    // Whether less than half of the CPU of the pool is in use.
+    bool isHalfFree(const std::string &pool) const
+    {
+        std::int64_t usedCpuMillis = 0;
+        std::int64_t cpuMillis = 0;
+        for (const auto &[id, target] : m_platform.workers()) {
+            const bool counts = target.alive && target.report.pool == pool;
+            cpuMillis += counts ? target.report.capacity.cpuMillis : 0;
+            for (const auto &[key, run] : target.running) {
+                usedCpuMillis += counts ? run.need.cpuMillis : 0;
+            }
+        }
+        return usedCpuMillis * 2 < cpuMillis;
+    }
+
     // Whether a worker of the fleet has room for twice the task, and its team may use twice as much as it has.
     bool couldRun(const fleet_model &state, const job &current, const task_key &key) const
     {
         const step_spec &step = current.step(key.step);
+        if (has(shape::waves) && !step.longRunning && runsAnything(key.job)) {
+            return false;
+        }
         const queue_config *queue = nullptr;
         for (const queue_config &candidate : m_allQueues) {
             queue = candidate.name == current.request().queue ? &candidate : queue;
         }
-        if (queue == nullptr) {
+        if (queue == nullptr || (has(shape::waves) && !isHalfFree(queue->pool))) {
             return false;
         }
         const auto &tasks = current.occurrences().at(key.occurrence).steps[static_cast<std::size_t>(key.step)];
@@ -1214,8 +1333,10 @@
                         if (isIdle(*state, *current, key, tasks[i])) {
                             const auto since = m_idleSince.find(key);
                             waiting[key] = since == m_idleSince.end() ? m_platform.now() : since->second;
-                            if (m_platform.now() - waiting[key] > MAX_WAIT) {
-                                m_stuck.push_back(fmt::format("{} could run and has not for {} ms", key.text(), MAX_WAIT.count()));
+                            const bool restarts = has(shape::waves) && current->step(step).longRunning && tasks[i].run > 0;
+                            const milliseconds longest = MAX_WAIT + (restarts ? RESTART_TIME : milliseconds(0));
+                            if (m_platform.now() - waiting[key] > longest) {
+                                m_stuck.push_back(fmt::format("{} could run and has not for {} ms", key.text(), longest.count()));
                             }
                         }
                     }
@@ -1250,6 +1371,13 @@
                 checkEnd(planned, found);
             }
         }
+        for (const planned_wave &planned : m_waves) {
+            const std::size_t maintained = m_platform.maintained(planned.wave.number).size();
+            if (maintained < planned.wave.hosts.size()) {
+                found.push_back(
+                    fmt::format("wave {}: {} of {} hosts are maintained", planned.wave.number, maintained, planned.wave.hosts.size()));
+            }
+        }
         const std::vector<std::string> books = bookErrors();
         found.insert(found.end(), books.begin(), books.end());
         return found;
@@ -1360,6 +1488,9 @@
     int m_workerCount = 0;
     std::vector<planned_job> m_jobs;
     std::vector<planned_fault> m_faults;
+    std::vector<planned_wave> m_waves;
+    // Jobs whose tasks take long.
+    std::set<std::string> m_longJobs;
     milliseconds m_calmAt{ 0 };
     std::unique_ptr<relay_executor> m_executor;
     std::map<std::uint64_t, std::unique_ptr<played_session>> m_sessions;
@@ -1452,6 +1583,15 @@
     { "more ends than one answer lists",
       with({ shape::many_small_tasks }),
       { fault::store_down, fault::owner_cut_from_store, fault::store_responses_lost, fault::writes_late, fault::worker_restarted } },
+    { "waves", with({ shape::late_jobs, shape::labels, shape::worker_maximums, shape::long_running, shape::waves }), {} },
+    { "waves and gangs", with({ shape::late_jobs, shape::gangs, shape::long_running, shape::best_effort, shape::waves }), {} },
+    { "waves and owners",
+      with({ shape::late_jobs, shape::labels, shape::long_running, shape::waves }),
+      { fault::owner_killed, fault::owner_killed_twice, fault::handed_over, fault::owner_paused, fault::store_down, fault::store_slow,
+        fault::owner_cut_from_store } },
+    { "waves and moves",
+      with({ shape::late_jobs, shape::host_moves, shape::two_pools, shape::labels, shape::long_running, shape::waves }),
+      {} },
     { "removed queue", PLAIN, { fault::queue_removed, fault::owner_killed, fault::handed_over } },
 };
 
