Open a worker again after an order for its host that had no effect, whatever the list of hosts shows

Cause: a pending order closes the worker, and only a list of hosts that shows the host as up took that back. If the host was not in the list when the order was given up (it is taken away for some seconds, or its entry is late), the order was forgotten and the worker's flag was not found again: closed for good. If the host service did not answer, or showed the host as down, the worker stayed closed as long as that lasted.

Ruled out: a refused order (opened at the answer), a take-over (the flag is not recorded), an order whose record takes too long (cancelled).

Change: an order knows the worker that it closed and opens it whenever it ends. An order without an answer is kept for 4 s also while the host is not listed, as it may still be carried out. A worker that still answers more than 4 s after the order (the time after which the list would have decided) is open again without a list; no other order is sent for the host meanwhile. New line host-order-overdue.

Why this works: the way out depends on the worker itself, and a worker that does not answer gets no tasks anyway.

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -86,6 +86,8 @@
 private:
     struct pending_order
     {
+        // The worker that ran on the host at the time of the order; empty if there was none. It is closed to new tasks.
+        std::string worker;
         // Empty for a maintenance order.
         std::string toPool;
         instant orderedAt;
@@ -95,7 +97,10 @@
     void onList(const host_list &list, instant askedAt, instant now);
     void resolveOrders(instant askedAt, instant now);
     void onOrderResult(const std::string &host, const host_order_result &result, instant now);
-    void cordon(const std::string &host, bool cordoned);
+    // Opens the workers that still work long after an order for their hosts, which had no effect then. Needs no list of hosts.
+    void openAfterLostOrders(instant now);
+    void setCordoned(const std::string &workerId, bool cordoned);
+    void beginOrder(const std::string &host, const std::string &toPool, maintenance_callback done, instant now);
     // Records the order and then sends it, unless the ownership can no longer be confirmed or the record took so long that the
     // decision is out of date.
     void sendAfterRecording(const std::string &host, std::function<void()> send, instant now);
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -33,6 +33,7 @@
 
 void host_controller::refresh(instant now)
 {
+    openAfterLostOrders(now);
     if (m_listInFlight || now < m_nextListAt) {
         return;
     }
@@ -66,19 +67,19 @@
         const bool up = host != nullptr && host->state == host_condition::up;
         const bool isMaintenance = order.toPool.empty();
         const milliseconds minDuration = isMaintenance ? m_model.bounds().maintenanceTime : m_model.bounds().moveTime;
-        bool resolved = host == nullptr;
+        bool resolved = false;
         if (!order.answered && isMaintenance && host != nullptr && host->state == host_condition::maintenance) {
             // The answer was lost, but the maintenance has started.
             entry->second.answered = true;
             entry->second.orderedAt = now;
             order.done(host_order_status::done, now);
         } else if (order.answered) {
-            resolved = resolved || (up && askedAt > order.orderedAt + minDuration);
+            resolved = host == nullptr || (up && askedAt > order.orderedAt + minDuration);
         } else {
-            resolved = resolved || (up && askedAt > order.orderedAt + UNANSWERED_ORDER_TIMEOUT);
+            resolved = (host == nullptr || up) && askedAt > order.orderedAt + UNANSWERED_ORDER_TIMEOUT;
         }
         if (resolved) {
-            cordon(name, false);
+            setCordoned(order.worker, false);
         }
         entry = resolved ? m_pendingOrders.erase(entry) : std::next(entry);
     }
@@ -135,20 +136,39 @@
     }));
 }
 
-void host_controller::cordon(const std::string &name, bool cordoned)
+void host_controller::openAfterLostOrders(instant now)
 {
-    const host_entry *host = find(name);
-    worker *target = host == nullptr ? nullptr : workerOn(*host);
+    for (const auto &[host, order] : m_pendingOrders) {
+        const instant lostAt = order.orderedAt + UNANSWERED_ORDER_TIMEOUT;
+        worker *target = m_model.workers().find(order.worker);
+        const bool hadNoEffect
+            = now > lostAt && target != nullptr && target->cordoned && target->unansweredPolls == 0 && target->lastResponseAt > lostAt;
+        if (hadNoEffect) {
+            m_log.write("host-order-overdue", { { "host", host }, { "worker", order.worker }, { "to", order.toPool } });
+            target->cordoned = false;
+        }
+    }
+}
+
+void host_controller::setCordoned(const std::string &workerId, bool cordoned)
+{
+    worker *target = m_model.workers().find(workerId);
     if (target != nullptr) {
         target->cordoned = cordoned;
     }
 }
 
+void host_controller::beginOrder(const std::string &host, const std::string &toPool, maintenance_callback done, instant now)
+{
+    const std::string &workerId = find(host)->worker;
+    m_pendingOrders[host] = { workerId, toPool, now, false, std::move(done) };
+    setCordoned(workerId, true);
+}
+
 void host_controller::move(const std::string &host, const std::string &pool, instant now)
 {
     m_log.write("move-ordered", { { "host", host }, { "from", find(host)->pool }, { "to", pool } });
-    m_pendingOrders[host] = { pool, now, false, {} };
-    cordon(host, true);
+    beginOrder(host, pool, {}, now);
     m_nextListAt = std::min(m_nextListAt, now + m_model.bounds().moveTime);
     sendAfterRecording(
         host,
@@ -163,8 +183,7 @@
 void host_controller::startMaintenance(const std::string &host, std::uint64_t wave, maintenance_callback done, instant now)
 {
     m_log.write("upkeep-ordered", { { "wave", std::to_string(wave) }, { "host", host } });
-    m_pendingOrders[host] = { {}, now, false, std::move(done) };
-    cordon(host, true);
+    beginOrder(host, {}, std::move(done), now);
     sendAfterRecording(
         host,
         [this, host, wave] {
@@ -219,7 +238,7 @@
         if (result.status == host_order_status::invalid && !found->second.toPool.empty()) {
             m_rejectedMoves.insert({ host, found->second.toPool });
         }
-        cordon(host, false);
+        setCordoned(found->second.worker, false);
         m_pendingOrders.erase(found);
     }
     if (done) {
