Close a host whose lasting tasks can move as soon as others have ended

Cause: a host with a lasting task that no other worker has room for at the moment was taken for one that cannot be emptied, and stayed open. In a full pool it filled again meanwhile.

Change: the want of room for a lasting task keeps a host open only if no other worker could hold the task when the ordinary runs there have ended. Otherwise the host is closed, within the bounds of a cordon. Stopping such a task for the length of the maintenance is still decided by may_miss and the time for further hosts.

--- a/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
@@ -112,7 +112,11 @@
     // Evicts the long-running tasks that may be evicted now. Returns those that fit on no other worker.
     std::vector<task_key> evictLongRunningTasks(worker &target, instant now);
     // Stops the tasks that fit on no other worker, once nothing else runs on the host. They start again after its maintenance.
-    bool stopStranded(const loaded_host &loaded, instant now);
+    bool stopStranded(const loaded_host &loaded, instant now, milliseconds timeLeft);
+    // Why the task may not be away for the length of the maintenance.
+    std::optional<drain_obstacle> stopObstacleOf(const loaded_host &loaded, const task_key &key, instant now, milliseconds timeLeft);
+    // Another worker could take the task if the runs there that end had ended.
+    bool couldMoveLater(const worker &from, const task_key &key, instant now) const;
     bool hasAlternativeWorker(const worker &from, const task_key &key, instant now) const;
     // Number of tasks of the step, among those that count, that are not at work.
     int countUnavailable(const task_key &key, const std::function<bool(const task_key &other)> &counts);
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -219,7 +219,7 @@
         }
         m_cordons.hold(name, *loaded.target, progress.wave.number, now);
         --hostsToDrain;
-        if (!loaded.stranded.empty() && outOfService < progress.wave.maximum && stopStranded(loaded, now)) {
+        if (!loaded.stranded.empty() && outOfService < progress.wave.maximum && stopStranded(loaded, now, timeLeft)) {
             ++outOfService;
         }
     }
@@ -265,25 +265,32 @@
             return drain_obstacle{ key, "the task takes too long by its estimate" };
         }
     }
-    const auto blockedSince = m_blockedSince.find(loaded.host->name);
-    const bool othersMayArrive
-        = blockedSince != m_blockedSince.end() && now - blockedSince->second < m_model.bounds().moveTime + HOST_JOIN_TIME;
     for (const task_key &key : loaded.stranded) {
-        const step_spec &step = m_model.find(key.job)->step(key.step);
-        if (othersMayArrive || step.gang) {
-            return drain_obstacle{ key, "no other worker can take the task" };
-        }
-        const int away = countUnavailable(key, [&target](const task_key &other) { return target.runs.count(other) == 0; });
-        const int here = target.countTasks(key.job, key.occurrence, key.step);
-        const bool mayStop = step.maxUnavailable > 0 ? away + here <= step.maxUnavailable : away == 0 || timeLeft.count() == 0;
-        if (!mayStop) {
-            return drain_obstacle{ key, "too many tasks of the step would be unavailable" };
+        const std::optional<drain_obstacle> found
+            = couldMoveLater(target, key, now) ? std::nullopt : stopObstacleOf(loaded, key, now, timeLeft);
+        if (found) {
+            return found;
         }
     }
     return std::nullopt;
 }
 
-bool host_maintenance_controller::stopStranded(const loaded_host &loaded, instant now)
+std::optional<host_maintenance_controller::drain_obstacle>
+host_maintenance_controller::stopObstacleOf(const loaded_host &loaded, const task_key &key, instant now, milliseconds timeLeft)
+{
+    const worker &target = *loaded.target;
+    const step_spec &step = m_model.find(key.job)->step(key.step);
+    const bool othersMayArrive = now - m_blockedSince.at(loaded.host->name) < m_model.bounds().moveTime + HOST_JOIN_TIME;
+    if (othersMayArrive || step.gang) {
+        return drain_obstacle{ key, "no other worker can take the task" };
+    }
+    const int away = countUnavailable(key, [&target](const task_key &other) { return target.runs.count(other) == 0; });
+    const int here = target.countTasks(key.job, key.occurrence, key.step);
+    const bool mayStop = step.maxUnavailable > 0 ? away + here <= step.maxUnavailable : away == 0 || timeLeft.count() == 0;
+    return mayStop ? std::nullopt : std::optional(drain_obstacle{ key, "too many tasks of the step would be unavailable" });
+}
+
+bool host_maintenance_controller::stopStranded(const loaded_host &loaded, instant now, milliseconds timeLeft)
 {
     const auto lasts = [](const auto &entry) {
         return entry.second.longRunning || entry.second.stopping;
@@ -292,6 +299,12 @@
         || isBeingEmptied(*loaded.target)) {
         return false;
     }
+    const auto mayBeStopped = [&](const task_key &key) {
+        return !stopObstacleOf(loaded, key, now, timeLeft);
+    };
+    if (!std::all_of(loaded.stranded.begin(), loaded.stranded.end(), mayBeStopped)) {
+        return false;
+    }
     for (const task_key &key : loaded.stranded) {
         m_log.write("run-evicted", { { "task", key.text() }, { "worker", loaded.target->report.id }, { "until", "maintained" } });
         m_runs.stop(key);
@@ -359,6 +372,18 @@
                   { "reason", std::string(found.reason) } });
 }
 
+bool host_maintenance_controller::couldMoveLater(const worker &from, const task_key &key, instant now) const
+{
+    const step_spec &step = m_model.find(key.job)->step(key.step);
+    const std::vector<worker *> &workers = m_model.workers().inPool(from.report.pool);
+    return std::any_of(workers.begin(), workers.end(), [&](const worker *target) {
+        m_model.countWorkersExamined(1);
+        const bool below = step.maxPerWorker == 0 || target->countTasks(key.job, key.occurrence, key.step) < step.maxPerWorker;
+        return target != &from && !target->dueForMaintenance && below && wouldAcceptUncordoned(*target, now)
+            && canHoldBesideLongRunningTasks(*target, step);
+    });
+}
+
 bool host_maintenance_controller::hasAlternativeWorker(const worker &from, const task_key &key, instant now) const
 {
     const step_spec &step = m_model.find(key.job)->step(key.step);
