Take back that a worker is due for maintenance, once no wave names it

Cause: a worker was marked as due when a wave came past it and never unmarked. A due worker is no alternative for an evicted task. If the operators took a host out of a wave, or the platform refused its maintenance for good, its worker was closed to evicted tasks as long as it lived. The marks were also set wave by wave, so in its first step a wave moved tasks to hosts of the next one.

Ruled out: new tasks; for them the mark is only an order of preference.

Change: the marks are set anew at each step for all waves, before any wave is carried out.

Test: maintenance::workerThatNoWaveNamesAnyMoreTakesEvictedTasks.

--- a/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
@@ -95,6 +95,8 @@
         task_key task;
         std::string_view reason;
     };
+    // Marks the workers whose hosts a wave has still to maintain, and no others.
+    void markDueWorkers();
     wave_hosts hostsLeft(const wave_progress &progress, instant now);
     // Time until the part of the deadline that is reserved for failures; 0 once it has begun.
     static milliseconds timeLeft(const wave_progress &progress, wall_ms wall);
@@ -134,6 +136,8 @@
     instant m_nextStepAt;
     // By pool: number of hosts with long-running tasks that fitted on no other worker at the last tick.
     std::map<std::string, int> m_blockedHosts;
+    // Workers that are marked as due for maintenance.
+    std::vector<std::string> m_dueWorkers;
     // By host: since when it has long-running tasks that fit on no other worker.
     std::map<std::string, instant> m_blockedSince;
     // By host: time before which no line says again what keeps it from being emptied.
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -112,6 +112,7 @@
     }
     m_nextStepAt = now + STEP_INTERVAL;
     m_blockedHosts.clear();
+    markDueWorkers();
     const std::map<std::string, instant> blockedBefore = std::exchange(m_blockedSince, {});
     for (auto &[number, progress] : m_waves) {
         if (progress.received && !progress.publishedCompleted) {
@@ -124,6 +125,26 @@
     return m_cordons.endStep(now);
 }
 
+void host_maintenance_controller::markDueWorkers()
+{
+    for (const std::string &id : std::exchange(m_dueWorkers, {})) {
+        worker *target = m_model.workers().find(id);
+        if (target != nullptr) {
+            target->dueForMaintenance = false;
+        }
+    }
+    for (const auto &[number, progress] : m_waves) {
+        for (const std::string &name : progress.wave.hosts) {
+            const host_entry *host = m_hosts.find(name);
+            worker *target = host == nullptr ? nullptr : m_hosts.workerOn(*host);
+            if (target != nullptr && !progress.completed && progress.started.count(name) == 0) {
+                target->dueForMaintenance = true;
+                m_dueWorkers.push_back(target->report.id);
+            }
+        }
+    }
+}
+
 host_maintenance_controller::wave_hosts host_maintenance_controller::hostsLeft(const wave_progress &progress, instant now)
 {
     wave_hosts left;
@@ -134,9 +155,6 @@
         }
         ++left.count;
         worker *target = m_hosts.workerOn(*host);
-        if (target != nullptr) {
-            target->dueForMaintenance = true;
-        }
         if (!m_hosts.acceptsOrders(*host, now)) {
             continue;
         }
--- a/packages/manager/test/maintenance_test.cpp
+++ b/packages/manager/test/maintenance_test.cpp
@@ -178,6 +178,18 @@
     cr_assert(fixture.evictsWithin(milliseconds(400)));
 }
 
+// Guards against LOST: a worker that a wave named once stayed due for its maintenance, also when no wave named it any more, and no
+// long-running task could be moved there.
+Test(maintenance, workerThatNoWaveNamesAnyMoreTakesEvictedTasks)
+{
+    due_host_fixture fixture;
+    // No host may be in maintenance at present, so the wave only marks the worker.
+    fixture.maintenanceController.setWave({ 2, { "host-w2" }, seconds(30), 0 }, WALL);
+    cr_assert_not(fixture.evictsWithin(milliseconds(1000)));
+    fixture.maintenanceController.setWave({ 2, {}, seconds(30), 0 }, WALL);
+    cr_assert(fixture.evictsWithin(milliseconds(500)));
+}
+
 // A host that is taken away for some seconds is not listed meanwhile, and still has to be maintained when it is back.
 Test(maintenance, waveIsNotCompletedWhileOneOfItsHostsIsUnlistedForAWhile)
 {
