Forget how often cordons of a host were given up once its maintenance begins

Cause: the pause after a cordon that was given up doubles up to 32 s and was kept for good, so that a later wave left the host alone for longer than its own cordons gave reason for. Change: the answer to the order for the maintenance forgets the pause.

--- a/packages/jobs/include/jujubespool/jobs/host_cordons.h
+++ b/packages/jobs/include/jujubespool/jobs/host_cordons.h
@@ -52,6 +52,11 @@
     void endEmptied(const std::string &host, instant now);
     // Lets the host have no cordon for some time, which is longer each time.
     void pause(const std::string &host, instant now);
+    // The host is being maintained, so its next cordon is one for another wave.
+    void forgetPause(const std::string &host)
+    {
+        m_pauses.erase(host);
+    }
     // Ends the cordons that were not renewed since the last step, and those that have to be given up. Returns true when a worker was
     // opened.
     bool endStep(instant now);
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -336,7 +336,9 @@
     m_hosts.startMaintenance(
         host.name, progress.wave.number,
         m_lifetime.guard([this, wave = progress.wave.number, name = host.name](host_order_status status, instant then) {
-            if (status != host_order_status::done) {
+            if (status == host_order_status::done) {
+                m_cordons.forgetPause(name);
+            } else {
                 // What was stopped for the order starts again, and is not stopped at once for the next one.
                 m_cordons.pause(name, then);
             }
--- a/packages/jobs/test/host_cordons_test.cpp
+++ b/packages/jobs/test/host_cordons_test.cpp
@@ -177,6 +177,10 @@
         cr_assert(fleet.mayBegin(), "not closed after %lld ms", static_cast<long long>(pause.count()));
     }
     cr_assert_eq(fleet.log.counts["host_cordons_ended_total/timed-out"], 5);
+    fleet.hold(MAX_CORDON_TIME + 2 * STEP);
+    cr_assert_not(fleet.mayBegin());
+    fleet.cordons.forgetPause("host");
+    cr_assert(fleet.mayBegin());
 }
 
 ParameterizedTestParameters(host_cordons, endForAcceptedWorkThatOnlyClosedWorkersHaveRoomFor)
