Try a rejected move again once the pools have changed

What callers would see (found by reading on the related paths, not by a run of the system): a pool gets no host from another one any more, and its steps wait although hosts are idle.

Cause: a move that the platform rejects was remembered for good, by host and pool, as hosts of another kind never fit. The platform also rejects a move to a pool that it does not know (any more), as around a change of the configuration that removes or adds one. The host was then closed to that pool until the owner changed.

Change: the rejections are forgotten when the configuration has other pools than before; not at each change, as each costs an order that is refused.

Test: host_order::rejectedMoveMayBeTriedAgainOnceThePoolsHaveChanged. Before (the hook without its effect): failed at its last check. After: passes. The fake platform now rejects moves to pools that it does not know.

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -41,11 +41,13 @@
         const auto order = m_pendingOrders.find(host);
         return order != m_pendingOrders.end() && order->second.toPool.empty();
     }
-    // The platform has permanently rejected this move.
+    // The platform has rejected this move, and will do so as long as the pools are the same.
     bool isMoveRejected(const std::string &host, const std::string &pool) const
     {
         return m_rejectedMoves.count({ host, pool }) > 0;
     }
+    // Forgets the rejected moves if these are other pools than before: the platform may not have known a pool.
+    void onPoolsConfigured(const std::map<std::string, pool_config> &pools);
     // Returns the pool to which the host has a pending move; empty if there is none.
     std::string pendingPoolOf(const std::string &host) const;
     // Number of hosts with a pending move to the pool.
@@ -115,6 +117,8 @@
     std::map<std::string, pending_order> m_pendingOrders;
     // Pairs of host and pool for which the platform rejects the move.
     std::set<std::pair<std::string, std::string>> m_rejectedMoves;
+    // The pools of the configuration.
+    std::set<std::string> m_poolNames;
     bool m_listed = false;
     bool m_listInFlight = false;
     instant m_nextListAt;
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -194,6 +194,18 @@
         now);
 }
 
+void host_controller::onPoolsConfigured(const std::map<std::string, pool_config> &pools)
+{
+    std::set<std::string> names;
+    for (const auto &[name, pool] : pools) {
+        names.insert(name);
+    }
+    if (names != m_poolNames) {
+        m_poolNames = std::move(names);
+        m_rejectedMoves.clear();
+    }
+}
+
 void host_controller::sendAfterRecording(const std::string &host, std::function<void()> send, instant now)
 {
     m_recordOrder(host, m_lifetime.guard([this, host, send = std::move(send), decidedAt = now](instant recordedAt) {
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -147,6 +147,7 @@
 void job_manager::setConfig(std::shared_ptr<const fleet_config> config, instant now)
 {
     m_model.setConfig(std::move(config));
+    m_hostController.onPoolsConfigured(m_model.config().pools);
     requestSchedule(now);
     processChanges(now);
 }
--- a/packages/manager/test/fake_platform_jobs.cpp
+++ b/packages/manager/test/fake_platform_jobs.cpp
@@ -373,7 +373,7 @@
 host_order_status fake_platform::moveHost(const std::string &name, const std::string &pool)
 {
     host_entry *found = findHost(name);
-    if (found == nullptr) {
+    if (found == nullptr || (m_config != nullptr && m_config->pools.count(pool) == 0)) {
         return host_order_status::invalid;
     }
     if (found->pool == pool) {
--- a/packages/manager/test/host_order_test.cpp
+++ b/packages/manager/test/host_order_test.cpp
@@ -63,6 +63,21 @@
     {
         m_hosts.move("host-w1", "other", m_platform.now());
     }
+    bool isMoveRejected() const
+    {
+        return m_hosts.isMoveRejected("host-w1", "other");
+    }
+    // The platform knows these pools, and rejects moves to others.
+    void setPools(const std::vector<std::string> &names)
+    {
+        fleet_config config;
+        for (const std::string &name : names) {
+            config.pools[name] = { name, true, false, {} };
+        }
+        m_platform.moveTime = milliseconds(100);
+        m_platform.setConfig(config);
+        m_hosts.onPoolsConfigured(config.pools);
+    }
     void begin(trouble kind)
     {
         if (kind == trouble::host_unlisted) {
@@ -111,6 +126,20 @@
 
 } // namespace
 
+// Guards against LOST: a host whose move was rejected while the platform did not know the pool was closed to the pool for good.
+Test(host_order, rejectedMoveMayBeTriedAgainOnceThePoolsHaveChanged)
+{
+    ordered_host host(true);
+    host.setPools({ "pool" });
+    host.move();
+    host.advance(milliseconds(500));
+    cr_assert(host.isMoveRejected());
+    host.setPools({ "pool" });
+    cr_assert(host.isMoveRejected(), "the pools are the same");
+    host.setPools({ "pool", "other" });
+    cr_assert_not(host.isMoveRejected());
+}
+
 ParameterizedTestParameters(host_order, workerIsOpenAgainAfterAnOrderThatHadNoEffect)
 {
     return rowsOf(CASES);
