--- a/packages/jobs/src/pool_rebalancer.cpp
+++ b/packages/jobs/src/pool_rebalancer.cpp
@@ -150,6 +150,7 @@
         const bool isFree = m_hosts.acceptsOrders(host, now) && unused;
         // A worker that is cordoned, does not answer or is avoided provides no capacity.
         const bool unusable = target != nullptr && (target->isCordoned(now) || !target->mayGetTasks(now));
+        found->second.cordoned += target != nullptr && target->isCordoned(now) ? 1 : 0;
         const bool hasLongRunning = target != nullptr
             && std::any_of(target->runs.begin(), target->runs.end(), [](const auto &entry) { return entry.second.longRunning; });
         if (!draining && !unusable) {
@@ -243,6 +244,7 @@
                       { "hosts", std::to_string(pool.hosts.size()) },
                       { "free", std::to_string(free) },
                       { "arriving", std::to_string(pool.arriving) },
+                      { "cordoned", std::to_string(pool.cordoned) },
                       { "used_cores", std::to_string(pool.usedCpuMillis / CPU_MILLIS_PER_CORE) },
                       { "late_used_cores", std::to_string(pool.lateUsedCpuMillis / CPU_MILLIS_PER_CORE) },
                       { "waiting_cores", std::to_string(pool.waitingCpuMillis / CPU_MILLIS_PER_CORE) },
