--- a/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
+++ b/packages/jobs/include/jujubespool/jobs/pool_capacity_planner.h
@@ -52,8 +52,6 @@
     // Hosts that are moving to this pool.
     int arriving = 0;
     std::int64_t arrivingCpuMillis = 0;
-    // Hosts that are cordoned for a wave; they are not among the others.
-    int cordoned = 0;
     // CPU in use, and the part of it that runs tasks of jobs that cannot be on time any more.
     std::int64_t usedCpuMillis = 0;
     std::int64_t lateUsedCpuMillis = 0;
@@ -69,6 +67,8 @@
     std::vector<planner_host> arrivingHosts{};
     // Hosts whose move to this pool the platform rejects.
     std::set<std::string> rejectedHosts{};
+    // Hosts that are cordoned for a wave; they are not among the others.
+    int cordoned = 0;
 };
 
 // True when the CPU that the pool's waiting tasks count for is free.
