Tell orders for one host apart

By the same way a worker is open to tasks while its host's maintenance is on its way, which cuts them.

Cause: the answer to an order was looked up by its host. If the store recorded an order only after the order had been given up (4 s without an answer), its cancelling (recording the order took too long) was taken for the answer to the next order for that host. That one was sent all the same, but no longer counted as pending, and its worker was opened.

Change: orders have a number, and an answer counts for its order alone. A fenced answer counts whatever order it belongs to.

Tests: host_order::answerToAnEarlierOrderDoesNotEndTheNextOne, before: failed, after: passes.

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -86,8 +86,15 @@
     }
 
 private:
+    // Tells orders for one host apart.
+    struct order_id
+    {
+        std::string host;
+        std::uint64_t number = 0;
+    };
     struct pending_order
     {
+        std::uint64_t number = 0;
         // The worker that ran on the host at the time of the order; empty if there was none. It is closed to new tasks.
         std::string worker;
         // Empty for a maintenance order.
@@ -98,15 +105,15 @@
     };
     void onList(const host_list &list, instant askedAt, instant now);
     void resolveOrders(instant askedAt, instant now);
-    void onOrderResult(const std::string &host, const host_order_result &result, instant now);
+    void onOrderResult(const order_id &id, const host_order_result &result, instant now);
     // Opens the workers that still work long after an order for their hosts, which had no effect then. Needs no list of hosts.
     void openAfterLostOrders(instant now);
     void setCordoned(const std::string &workerId, bool cordoned);
-    void beginOrder(const std::string &host, const std::string &toPool, maintenance_callback done, instant now);
+    order_id beginOrder(const std::string &host, const std::string &toPool, maintenance_callback done, instant now);
     // Records the order and then sends it, unless the ownership can no longer be confirmed or the record took so long that the
     // decision is out of date.
-    void sendAfterRecording(const std::string &host, std::function<void()> send, instant now);
-    void cancelOrder(const std::string &host, const std::string &reason, instant now);
+    void sendAfterRecording(const order_id &id, std::function<void()> send, instant now);
+    void cancelOrder(const order_id &id, const std::string &reason, instant now);
 
     fleet_model &m_model;
     host_gateway &m_gateway;
@@ -115,6 +122,7 @@
     std::uint64_t m_token;
     std::map<std::string, host_entry> m_hosts;
     std::map<std::string, pending_order> m_pendingOrders;
+    std::uint64_t m_lastOrder = 0;
     // Pairs of host and pool for which the platform rejects the move.
     std::set<std::pair<std::string, std::string>> m_rejectedMoves;
     // The pools of the configuration.
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -158,24 +158,26 @@
     }
 }
 
-void host_controller::beginOrder(const std::string &host, const std::string &toPool, maintenance_callback done, instant now)
+host_controller::order_id host_controller::beginOrder(const std::string &host, const std::string &toPool, maintenance_callback done,
+                                                      instant now)
 {
     const std::string &workerId = find(host)->worker;
-    m_pendingOrders[host] = { workerId, toPool, now, false, std::move(done) };
+    m_pendingOrders[host] = { ++m_lastOrder, workerId, toPool, now, false, std::move(done) };
     setCordoned(workerId, true);
+    return { host, m_lastOrder };
 }
 
 void host_controller::move(const std::string &host, const std::string &pool, instant now)
 {
     m_log.write("move-ordered", { { "host", host }, { "from", find(host)->pool }, { "to", pool } });
-    beginOrder(host, pool, {}, now);
+    const order_id id = beginOrder(host, pool, {}, now);
     m_nextListAt = std::min(m_nextListAt, now + m_model.bounds().moveTime);
     sendAfterRecording(
-        host,
-        [this, host, pool] {
-            m_gateway.move({ host, m_holder, m_token }, pool, m_lifetime.guard([this, host](const host_order_result &result, instant then) {
-                onOrderResult(host, result, then);
-            }));
+        id,
+        [this, id, pool] {
+            m_gateway.move(
+                { id.host, m_holder, m_token }, pool,
+                m_lifetime.guard([this, id](const host_order_result &result, instant then) { onOrderResult(id, result, then); }));
         },
         now);
 }
@@ -183,13 +185,13 @@
 void host_controller::startMaintenance(const std::string &host, std::uint64_t wave, maintenance_callback done, instant now)
 {
     m_log.write("upkeep-ordered", { { "wave", std::to_string(wave) }, { "host", host } });
-    beginOrder(host, {}, std::move(done), now);
+    const order_id id = beginOrder(host, {}, std::move(done), now);
     sendAfterRecording(
-        host,
-        [this, host, wave] {
+        id,
+        [this, id, wave] {
             m_gateway.startMaintenance(
-                { host, m_holder, m_token }, wave,
-                m_lifetime.guard([this, host](const host_order_result &result, instant then) { onOrderResult(host, result, then); }));
+                { id.host, m_holder, m_token }, wave,
+                m_lifetime.guard([this, id](const host_order_result &result, instant then) { onOrderResult(id, result, then); }));
         },
         now);
 }
@@ -206,39 +208,41 @@
     }
 }
 
-void host_controller::sendAfterRecording(const std::string &host, std::function<void()> send, instant now)
+void host_controller::sendAfterRecording(const order_id &id, std::function<void()> send, instant now)
 {
-    m_recordOrder(host, m_lifetime.guard([this, host, send = std::move(send), decidedAt = now](instant recordedAt) {
+    m_recordOrder(id.host, m_lifetime.guard([this, id, send = std::move(send), decidedAt = now](instant recordedAt) {
         if (!isOwnershipConfirmed(recordedAt)) {
-            cancelOrder(host, "the ownership is not confirmed", recordedAt);
+            cancelOrder(id, "the ownership is not confirmed", recordedAt);
         } else if (recordedAt - decidedAt > MAX_RECORDING_TIME) {
-            cancelOrder(host, "recording the order took too long", recordedAt);
+            cancelOrder(id, "recording the order took too long", recordedAt);
         } else {
             send();
         }
     }));
 }
 
-void host_controller::cancelOrder(const std::string &host, const std::string &reason, instant now)
+void host_controller::cancelOrder(const order_id &id, const std::string &reason, instant now)
 {
-    onOrderResult(host, { host_order_status::refused, { failure_step::control, host, reason } }, now);
+    onOrderResult(id, { host_order_status::refused, { failure_step::control, id.host, reason } }, now);
 }
 
-void host_controller::onOrderResult(const std::string &host, const host_order_result &result, instant now)
+void host_controller::onOrderResult(const order_id &id, const host_order_result &result, instant now)
 {
+    const std::string &host = id.host;
     m_log.count("host_orders_total", nameOf(result.status));
     if (result.status != host_order_status::done) {
         m_log.write("host-order-answered",
                     { { "host", host }, { "outcome", std::string(nameOf(result.status)) }, { "reason", result.reason.reason } });
     }
-    const auto found = m_pendingOrders.find(host);
-    if (found == m_pendingOrders.end()) {
-        return;
-    }
     if (result.status == host_order_status::fenced) {
         m_onFenced(now);
         return;
     }
+    const auto found = m_pendingOrders.find(host);
+    if (found == m_pendingOrders.end() || found->second.number != id.number) {
+        // The order was given up; another one for the host may be pending since.
+        return;
+    }
     if (result.status == host_order_status::unknown) {
         return;
     }
--- a/packages/manager/test/host_order_test.cpp
+++ b/packages/manager/test/host_order_test.cpp
@@ -55,7 +55,7 @@
         target().polled = true;
         target().clockKnown = true;
         m_hosts.setOrderRecorder(
-            [this](const std::string &, const std::function<void(instant now)> &recorded) { m_platform.after(milliseconds(5), recorded); });
+            [this](const std::string &, const std::function<void(instant now)> &recorded) { m_platform.after(m_recordingTime, recorded); });
         advance(milliseconds(500));
     }
 
@@ -63,6 +63,19 @@
     {
         m_hosts.move("host-w1", "other", m_platform.now());
     }
+    void startMaintenance()
+    {
+        m_hosts.startMaintenance("host-w1", 1, {}, m_platform.now());
+    }
+    bool hasPendingOrder() const
+    {
+        return m_hosts.hasPendingOrder("host-w1");
+    }
+    // Records of orders take this long from now on.
+    void setRecordingTime(milliseconds time)
+    {
+        m_recordingTime = time;
+    }
     bool isMoveRejected() const
     {
         return m_hosts.isMoveRejected("host-w1", "other");
@@ -117,6 +130,7 @@
     }
 
     fake_platform m_platform;
+    milliseconds m_recordingTime{ 5 };
     counting_log m_log;
     fleet_model m_model{ manager_bounds() };
     platform_clients m_clients{ m_platform.clientsOf("entry-1") };
@@ -126,6 +140,22 @@
 
 } // namespace
 
+// Guards against LIMIT: the store recorded an order only after it had been given up, and its cancelling was taken for the answer to the
+// next order for the host, which then counted as not sent.
+Test(host_order, answerToAnEarlierOrderDoesNotEndTheNextOne)
+{
+    ordered_host host(false);
+    host.setRecordingTime(UNANSWERED + REFRESH + seconds(1));
+    host.move();
+    host.advance(UNANSWERED + REFRESH);
+    cr_assert_not(host.hasPendingOrder());
+    host.setRecordingTime(milliseconds(5));
+    host.startMaintenance();
+    host.advance(seconds(2));
+    cr_assert(host.hasPendingOrder());
+    cr_assert_not(host.isOpen());
+}
+
 // Guards against LOST: a host whose move was rejected while the platform did not know the pool was closed to the pool for good.
 Test(host_order, rejectedMoveMayBeTriedAgainOnceThePoolsHaveChanged)
 {
--- a/packages/manager/test/liveness_test.cpp
+++ b/packages/manager/test/liveness_test.cpp
@@ -1593,6 +1593,10 @@
     { "waves and moves",
       with({ shape::late_jobs, shape::host_moves, shape::two_pools, shape::labels, shape::long_running, shape::waves }),
       {} },
+    { "waves and all faults",
+      with({ shape::late_jobs, shape::labels, shape::long_running, shape::waves, shape::peers, shape::relays, shape::gangs,
+             shape::best_effort }),
+      allFaults() },
     { "removed queue", PLAIN, { fault::queue_removed, fault::owner_killed, fault::handed_over } },
 };
 
