--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -284,9 +284,10 @@
         }
     }
     for (const task_key &key : loaded.stranded) {
-        const std::optional<drain_obstacle> found
-            = couldMoveLater(target, key, now) ? std::nullopt : stopObstacleOf(loaded, key, now, timeLeft);
-        if (found) {
+        if (couldMoveLater(target, key, now)) {
+            continue;
+        }
+        if (std::optional<drain_obstacle> found = stopObstacleOf(loaded, key, now, timeLeft)) {
             return found;
         }
     }
