--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -11,6 +11,7 @@
 #include <jujubespool/core/enum_names.h>
 #include <jujubespool/core/interned_name.h>
 #include <jujubespool/core/time.h>
+#include <jujubespool/jobs/ledger_clock.h>
 #include <jujubespool/wire/jujubespool.pb.h>
 #include <map>
 #include <optional>
@@ -86,6 +87,13 @@
     milliseconds interval{ 0 };
 };
 
+// When a job has ended, on the clock of the ledger, and the epoch of the owner that recorded it.
+struct end_record
+{
+    ledger_ms at = 0;
+    std::uint64_t epoch = 0;
+};
+
 enum class job_state { queued, running, completed, failed, cancelled };
 
 template <> struct enum_names<job_state>
@@ -204,6 +212,15 @@
     {
         return m_endedAt;
     }
+    // Not recorded until recordEnd() is called, and in a job that an earlier version has recorded.
+    const end_record &endRecord() const
+    {
+        return m_end;
+    }
+    void recordEnd(const end_record &end)
+    {
+        m_end = end;
+    }
     bool isRecurring() const
     {
         return m_request.repeatCount > 0;
@@ -290,6 +307,7 @@
     job_state m_state = job_state::queued;
     wall_ms m_acceptedAt = 0;
     wall_ms m_endedAt = 0;
+    end_record m_end;
     // Not part of the image.
     bool m_started = false;
     std::map<int, occurrence_progress> m_occurrences;
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -9,6 +9,7 @@
 // the records and orders of a former owner.
 #pragma once
 
+#include <jujubespool/jobs/ledger_clock.h>
 #include <jujubespool/jobs/ledger_writer.h>
 #include <jujubespool/jobs/pool_rebalancer.h>
 #include <jujubespool/jobs/run_supervisor.h>
@@ -88,6 +89,11 @@
     bool formerLeasesExpired(instant now) const override;
     // Writes the ownership record again, which shows the other processes that this owner is alive.
     void renewOwnership(const ledger_entry &record, instant now);
+    // The clock of the ledger, which goes into each record of the ownership.
+    ledger_ms ledgerTime(instant now) const
+    {
+        return m_clock.at(now);
+    }
     // See ledger_writer::confirmedAt().
     instant confirmedAt() const
     {
@@ -116,15 +122,18 @@
     void schedule(instant now);
     // Sends the start orders of placements that are recorded.
     void sendStarts(const std::vector<placement> &placements, instant now);
-    void writeChanged();
-    void onJobEnded(const job_id &id);
+    void writeChanged(instant now);
+    void onJobEnded(const job_id &id, instant now);
     void requestTickets(const ticket_request &request);
     // Whether the step, in the form "job.occurrence.step", still has tasks that are not done.
     bool isStepUnfinished(const std::string &step) const;
     // Largest image of a job that fits into a record.
     std::size_t maxImageBytes() const;
     void stopRuns(const job_id &id);
-    void removeExpiredJobs(wall_ms wall);
+    void removeExpiredJobs(instant now, wall_ms wall);
+    void forget(const job_id &id, instant now, wall_ms wall);
+    // Jobs that an earlier version has recorded count as ended now.
+    void recordMissingEnds(instant now);
     void restoreQueue(const std::string &name, const std::string &value);
     // Logs each job that cannot run, because neither the configuration nor the ledger has its queue.
     void logUnknownQueues();
@@ -149,6 +158,8 @@
     bool m_ownershipLost = false;
     // The memory of the image that was written last, for the next one.
     wire::job_image m_image;
+    std::uint64_t m_epoch;
+    ledger_clock m_clock;
     wall_ms m_wall = 0;
     instant m_tickedAt;
     instant m_lastExpiryCheck;
--- a/packages/jobs/include/jujubespool/jobs/ledger_keys.h
+++ b/packages/jobs/include/jujubespool/jobs/ledger_keys.h
@@ -9,11 +9,11 @@
 
 namespace jujubespool {
 
-enum class ledger_kind { job, wave, owner, host, queue, unknown };
+enum class ledger_kind { job, wave, owner, host, queue, voters, unknown };
 
 template <> struct enum_names<ledger_kind>
 {
-    static constexpr std::array<std::string_view, 6> NAMES{ "job", "wave", "owner", "host", "queue", "unknown" };
+    static constexpr std::array<std::string_view, 7> NAMES{ "job", "wave", "owner", "host", "queue", "voters", "unknown" };
 };
 
 struct ledger_key
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -17,8 +17,8 @@
 // Bytes that frame one entry of a list, and the fields of an occurrence besides its tasks.
 constexpr std::size_t ENTRY_FRAME_BYTES = 4;
 constexpr std::size_t OCCURRENCE_FRAME_BYTES = 24;
-// The end time and the state of a job, which its first image lacks.
-constexpr std::size_t END_BYTES = 16;
+// The end times, the epoch and the state of a job, which its first image lacks.
+constexpr std::size_t END_BYTES = 38;
 
 void writeImage(const step_spec &step, wire::step_image &image)
 {
@@ -226,6 +226,7 @@
     restored.m_state = static_cast<job_state>(std::min(image.state(), 4U));
     restored.m_acceptedAt = image.accepted_ms();
     restored.m_endedAt = image.ended_ms();
+    restored.m_end = { image.ended_ledger_ms(), image.ended_epoch() };
     for (const wire::occurrence_image &entry : image.occurrences()) {
         occurrence_progress &added = restored.addOccurrence(static_cast<int>(entry.number()));
         added.ended = entry.ended();
@@ -269,6 +270,8 @@
     image.set_interval_ms(static_cast<std::uint64_t>(m_request.interval.count()));
     image.set_accepted_ms(m_acceptedAt);
     image.set_ended_ms(m_endedAt);
+    image.set_ended_ledger_ms(m_end.at);
+    image.set_ended_epoch(m_end.epoch);
     image.set_state(static_cast<std::uint32_t>(m_state));
     if (ended() && !hasAssigned()) {
         return;
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -36,6 +36,7 @@
     , m_hostMaintenance(m_model, m_runs, m_hostController, gateways.status, log)
     , m_poolRebalancer(m_model, m_hostController, m_hostMaintenance, log)
     , m_waitReporter(m_model, m_tickets, log)
+    , m_epoch(owned.epoch)
 {
     m_writer.confirm(owned.claimSentAt);
     m_writer.onFenced([this](instant now) { onFenced(now); });
@@ -58,6 +59,7 @@
     wire::owner_image lastOwner;
     const bool ended = ownerEntry != entries.end() && lastOwner.ParseFromString(ownerEntry->second) && lastOwner.resigned()
         && lastOwner.predecessors_ended();
+    m_clock.restore(lastOwner.ledger_ms(), now);
     // A former owner that lost its connection to the store may renew leases for up to SELF_FENCE_TIMEOUT after its last record, and for
     // longer if the peers confirm its ownership.
     const instant leaseEnd = now + m_model.leaseExpiryBound() + (ended ? milliseconds(0) : SELF_FENCE_TIMEOUT);
@@ -76,6 +78,7 @@
             m_hostController.restoreOrder(parsed.name, hostOrder.ordered_ms(), wall, now);
         }
     }
+    recordMissingEnds(now);
     logUnknownQueues();
     if (m_model.configured()) {
         m_poolRebalancer.restoreLoadHistory(now, wall);
@@ -99,6 +102,20 @@
     m_model.restoreQueue(*queue);
 }
 
+void job_manager::recordMissingEnds(instant now)
+{
+    std::vector<job_id> unrecorded;
+    for (const auto &[id, stored] : m_model.jobs()) {
+        if (stored.ended() && stored.endRecord().at == 0) {
+            unrecorded.push_back(id);
+        }
+    }
+    for (const job_id &id : unrecorded) {
+        m_model.find(id)->recordEnd({ m_clock.at(now), m_epoch });
+        m_model.markChanged(id);
+    }
+}
+
 void job_manager::logUnknownQueues()
 {
     for (const auto &[id, active] : m_model.activeJobs()) {
@@ -302,14 +319,14 @@
         m_lastExpiryCheck = now;
         // No event reports that the avoid time of a worker has passed, so scheduling is repeated at intervals.
         requestSchedule(now);
-        removeExpiredJobs(wall);
+        removeExpiredJobs(now, wall);
         m_tickets.prune([this](const std::string &step) { return isStepUnfinished(step); }, m_model.workers());
     }
     processChanges(now);
     m_waitReporter.tick({ now, storeUnresponsiveFor(now), isOwnershipConfirmed(now) }, wall);
 }
 
-void job_manager::removeExpiredJobs(wall_ms wall)
+void job_manager::removeExpiredJobs(instant now, wall_ms wall)
 {
     std::vector<job_id> expired;
     m_model.countJobsExamined(m_model.jobs().size());
@@ -320,11 +337,25 @@
         }
     }
     for (const job_id &id : expired) {
-        m_model.remove(id);
-        m_writer.put({ ledgerKey(ledger_kind::job, id), std::nullopt });
+        forget(id, now, wall);
     }
 }
 
+void job_manager::forget(const job_id &id, instant now, wall_ms wall)
+{
+    const job &stored = *m_model.find(id);
+    m_log.write("job-forgotten",
+                { { "job", id },
+                  { "state", std::string(nameOf(stored.state())) },
+                  { "age_ms", std::to_string(m_clock.since(stored.endRecord().at, now).count()) },
+                  { "ledger_ms", std::to_string(m_clock.at(now)) },
+                  { "ended_by_epoch", std::to_string(stored.endRecord().epoch) },
+                  { "ended_ms", std::to_string(stored.endedAt()) },
+                  { "wall_ms", std::to_string(wall) } });
+    m_model.remove(id);
+    m_writer.put({ ledgerKey(ledger_kind::job, id), std::nullopt });
+}
+
 void job_manager::onProgress(instant now)
 {
     requestSchedule(now);
@@ -340,7 +371,7 @@
 
 void job_manager::whenDurable(std::function<void(instant now)> call, instant now)
 {
-    writeChanged();
+    writeChanged(now);
     m_writer.whenDurable(std::move(call), now);
 }
 
@@ -353,7 +384,7 @@
     if (m_scheduleNeededSince && !m_resigned && !m_writer.appending()) {
         schedule(now);
     }
-    writeChanged();
+    writeChanged(now);
     m_writer.flush(now);
 }
 
@@ -377,7 +408,7 @@
             m_log.observe("first_start", started.request().team, milliseconds(m_wall - std::min(m_wall, started.acceptedAt())));
         }
     }
-    writeChanged();
+    writeChanged(now);
     m_writer.whenDurable(
         [this, placements = std::move(result.placements), placedAt = now](instant then) {
             m_log.observe("record_wait", "", then - placedAt);
@@ -410,7 +441,7 @@
     }
 }
 
-void job_manager::writeChanged()
+void job_manager::writeChanged(instant now)
 {
     for (const job_id &id : m_model.takeChanged()) {
         m_writer.putLazily(ledgerKey(ledger_kind::job, id), [this, id] {
@@ -423,7 +454,7 @@
         });
     }
     for (const job_id &id : m_model.takeEnded()) {
-        onJobEnded(id);
+        onJobEnded(id, now);
     }
     for (ledger_entry &entry : m_model.takeChangedQueues()) {
         m_writer.put(std::move(entry));
@@ -433,12 +464,13 @@
     }
 }
 
-void job_manager::onJobEnded(const job_id &id)
+void job_manager::onJobEnded(const job_id &id, instant now)
 {
-    const job *endedJob = m_model.find(id);
+    job *endedJob = m_model.find(id);
     if (endedJob == nullptr) {
         return;
     }
+    endedJob->recordEnd({ m_clock.at(now), m_epoch });
     const milliseconds age(m_wall - std::min(m_wall, endedJob->acceptedAt()));
     m_log.write("job-changed",
                 { { "job", id }, { "state", std::string(nameOf(endedJob->state())) }, { "age_ms", std::to_string(age.count()) } });
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -104,10 +104,10 @@
     void failClaim(const std::string &cause, instant now);
     void applyOperatorEntry(const ledger_entry &entry, instant now);
     void applyWorkerEntry(const ledger_entry &entry, instant now);
-    ledger_entry ownerEntry() const;
+    ledger_entry ownerEntry(instant now) const;
     ledger_entry resignedEntry(instant now) const;
     static ledger_entry entryOf(const wire::owner_image &image);
-    wire::owner_image ownerImage() const;
+    wire::owner_image ownerImage(instant now) const;
     void refuse(const http_call &call, const std::string &reason, const http_reply_callback &reply);
 
     platform_clients m_clients;
@@ -132,6 +132,8 @@
     // Epoch of the ownership that this session is to replace; empty until it is known.
     std::optional<std::uint64_t> m_ownerEpochSeen;
     std::uint64_t m_epoch = 0;
+    // The clock of the ledger in the record of the owner before this one, in ms.
+    std::uint64_t m_ledgerTimeRead = 0;
     int m_claimAttempts = 0;
     // When the claim was sent first.
     instant m_claimSentAt;
--- a/packages/manager/src/job_api_handler.cpp
+++ b/packages/manager/src/job_api_handler.cpp
@@ -68,7 +68,10 @@
     } else if (call.method == "GET") {
         m_manager.queryState(
             id,
-            [this, reply](std::optional<job_state> state) {
+            [this, id, reply](std::optional<job_state> state) {
+                if (!state) {
+                    m_log.write("job-unknown", { { "job", id } });
+                }
                 reply(state ? http_reply{ STATUS_OK, m_codec.stateBody(*state) }
                             : http_reply{ STATUS_GONE, m_codec.errorBody("no such job") });
             },
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -168,12 +168,13 @@
     }));
 }
 
-wire::owner_image owner_session::ownerImage() const
+wire::owner_image owner_session::ownerImage(instant now) const
 {
     wire::owner_image image;
     image.set_node(m_identity.node);
     image.set_incarnation(m_identity.incarnation);
     image.set_epoch(m_epoch);
+    image.set_ledger_ms(m_manager ? m_manager->ledgerTime(now) : m_ledgerTimeRead);
     return image;
 }
 
@@ -182,14 +183,14 @@
     return { ledgerKey(ledger_kind::owner, OWNER_NAME), image.SerializeAsString() };
 }
 
-ledger_entry owner_session::ownerEntry() const
+ledger_entry owner_session::ownerEntry(instant now) const
 {
-    return entryOf(ownerImage());
+    return entryOf(ownerImage(now));
 }
 
 ledger_entry owner_session::resignedEntry(instant now) const
 {
-    wire::owner_image image = ownerImage();
+    wire::owner_image image = ownerImage(now);
     image.set_resigned(true);
     image.set_predecessors_ended(m_manager->formerLeasesExpired(now));
     return entryOf(image);
@@ -215,9 +216,10 @@
         return;
     }
     m_epoch = previousOwner.epoch() + 1;
+    m_ledgerTimeRead = previousOwner.ledger_ms();
     m_claimSentAt = m_claimAttempts == 0 ? now : m_claimSentAt;
     ++m_claimAttempts;
-    const ledger_append call{ m_epoch, claimSequence(), m_ledgerEnd, { ownerEntry() }, CLAIM_TIMEOUT };
+    const ledger_append call{ m_epoch, claimSequence(), m_ledgerEnd, { ownerEntry(now) }, CLAIM_TIMEOUT };
     m_clients.ledger.append(call, m_lifetime.guard([this](const ledger_append_result &outcome, instant now) { onClaim(outcome, now); }));
 }
 
@@ -321,7 +323,7 @@
     m_manager->tick(now, m_wallClock());
     if (!m_resigning && now - m_lastRenewal >= OWNER_RENEWAL_INTERVAL) {
         m_lastRenewal = now;
-        m_manager->renewOwnership(ownerEntry(), now);
+        m_manager->renewOwnership(ownerEntry(now), now);
     }
 }
 
