Count the age of an ended job on the clock of the ledger

Cause: job_manager compared the end, a time of day of the owner that recorded it, with the time of day of a later owner, or of the same one after its clock had jumped. The sizes that clocks differ by are named nowhere. Change: an end is recorded on the ledger's clock, which counts the time for which owners have held the ownership, each on its own steady clock, and goes on from the last record of the ownership. It never runs ahead of the time that has passed, so no bound on clocks is assumed. It stands still between two owners: a state is kept that much longer for each change of owner, the ledger does not grow without end.

--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -330,9 +330,10 @@
 {
     std::vector<job_id> expired;
     m_model.countJobsExamined(m_model.jobs().size());
-    const auto retentionMs = static_cast<wall_ms>(duration_cast<milliseconds>(m_model.bounds().statusRetention).count());
     for (const auto &[id, stored] : m_model.jobs()) {
-        if (stored.ended() && stored.endedAt() + retentionMs < wall && !stored.hasAssigned()) {
+        // An end that has just come is recorded with the next changes.
+        const bool recorded = stored.ended() && stored.endRecord().at != 0;
+        if (recorded && m_clock.since(stored.endRecord().at, now) > m_model.bounds().statusRetention && !stored.hasAssigned()) {
             expired.push_back(id);
         }
     }
