End members that are gone, and count the voters that the ledger holds

Cause: an entry of the list of members had no end, and each process chose for itself from that list whose word confirms an owner or excludes a former one. With eight of 15 entries gone, fewer than half could say that they know the new owner, so each take-over waited for the longest time that a former owner may go on. Ruled out: the new owner's heartbeats (all six others answered within 0.4 s) and the lost worker (its lease ends after 3.5 s). Dropping silent members from the count is no mend: a half that is cut off would confirm itself. The owner records the voters in the ledger, under its epoch. A new owner reads at its claim the very set that the former one counts. One change at a time; while it is not durable both sets have to confirm; none while a former owner may be confirmed. A process that stops records its end. An end names the number that it ends: carried out late, or after an answer, it has no effect. A process that reads its own end, or the question, registers again under a later number. A ledger that has never had an owner has no former one to wait for. The two counts of peer_tracker are gone; their tests ask the same of recorded voters, row by row.

--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -87,6 +87,13 @@
     bool isOwnershipConfirmed(instant now) const override;
     // Whether the leases that earlier owners may have renewed have expired.
     bool formerLeasesExpired(instant now) const override;
+    // Whether no owner before this one can be confirmed any more.
+    bool formerOwnersOver(instant now) const
+    {
+        return now >= m_formerRenewalsEnd;
+    }
+    // Writes an entry of the ledger and calls back once it is durable.
+    void record(const ledger_entry &entry, std::function<void(instant now)> recorded, instant now);
     // Writes the ownership record again, which shows the other processes that this owner is alive.
     void renewOwnership(const ledger_entry &record, instant now);
     // The clock of the ledger, which goes into each record of the ownership.
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -57,8 +57,10 @@
     const auto ownerEntry = std::find_if(entries.begin(), entries.end(),
                                          [](const auto &entry) { return parseLedgerKey(entry.first).kind == ledger_kind::owner; });
     wire::owner_image lastOwner;
-    const bool ended = ownerEntry != entries.end() && lastOwner.ParseFromString(ownerEntry->second) && lastOwner.resigned()
-        && lastOwner.predecessors_ended();
+    // A ledger without a record of the ownership has never had an owner.
+    const bool neverOwned = ownerEntry == entries.end();
+    const bool ended
+        = neverOwned || (lastOwner.ParseFromString(ownerEntry->second) && lastOwner.resigned() && lastOwner.predecessors_ended());
     m_clock.restore(lastOwner.ledger_ms(), now);
     // A former owner that lost its connection to the store may renew leases for up to SELF_FENCE_TIMEOUT after its last record, and for
     // longer if the peers confirm its ownership.
@@ -552,6 +554,13 @@
     m_writer.whenDurable(std::move(done), now);
 }
 
+void job_manager::record(const ledger_entry &entry, std::function<void(instant now)> recorded, instant now)
+{
+    m_writer.put(entry);
+    m_writer.whenDurable(std::move(recorded), now);
+    m_writer.flush(now);
+}
+
 void job_manager::renewOwnership(const ledger_entry &record, instant now)
 {
     m_writer.put(record);
--- a/packages/manager/include/jujubespool/manager/manager_process.h
+++ b/packages/manager/include/jujubespool/manager/manager_process.h
@@ -11,6 +11,7 @@
 #include <jujubespool/manager/call_router.h>
 #include <jujubespool/manager/event_logger.h>
 #include <jujubespool/manager/load_monitor.h>
+#include <jujubespool/manager/member_ends.h>
 #include <jujubespool/manager/member_registration.h>
 #include <jujubespool/manager/order_relay.h>
 #include <jujubespool/manager/owner_record_reader.h>
@@ -65,6 +66,8 @@
     // Chooses the processes that send orders to workers on behalf of this owner.
     void updateRelayHelpers(instant now);
     void runElection(instant now);
+    // As the owner: keeps the voters and the list of members up to date.
+    void updateMembers(instant now);
     // Whether callers can be served here: this process owns the jobs and its store responds, or it receives heartbeats
     // from the owner and can send to it.
     bool canServe(instant now) const;
@@ -79,6 +82,8 @@
     void handOver(std::uint64_t next, instant now);
     void onSessionEvent(session_event event, instant now);
     void discardSession(instant now);
+    // Records that this process has ended. Returns true once that is answered, or was not in time.
+    bool recordedEnd(instant now);
     void completeStop(instant now);
     bool owns() const
     {
@@ -95,6 +100,7 @@
     process_identity m_identity;
     zmq_peer_transport m_link;
     peer_tracker m_peers;
+    member_ends m_ends;
     call_router m_router;
     call_queue m_calls;
     order_relay m_relay;
@@ -127,6 +133,11 @@
     instant m_handoverWaitSince;
     // Set while the process is being stopped.
     std::optional<stop_sequence> m_stop;
+    // When the record that this process has ended was sent, and whether it has been answered.
+    std::optional<instant> m_endSentAt;
+    bool m_endAnswered = false;
+    // When this process became the owner last.
+    instant m_ownerSince;
     lifetime m_lifetime;
 };
 
--- a/packages/manager/include/jujubespool/manager/member_registration.h
+++ b/packages/manager/include/jujubespool/manager/member_registration.h
@@ -27,7 +27,10 @@
     void onEntry(const std::optional<wire::member_image> &image);
     // All entries available at the time have been read. Writes the entry of this process if another one is listed.
     void onCaughtUp(instant now);
-    // From now on nothing is written, because the process is about to end.
+    // Records that this start has ended, and calls back once that was answered or has failed. The owner ends the entry of a process that
+    // could not record it.
+    void end(std::function<void(instant now)> done);
+    // From now on nothing else is written, because the process is about to end.
     void stop()
     {
         m_stopped = true;
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -11,6 +11,7 @@
 #include <jujubespool/manager/job_api_handler.h>
 #include <jujubespool/manager/manager_settings.h>
 #include <jujubespool/manager/owner_record_reader.h>
+#include <jujubespool/manager/ownership_voters.h>
 #include <jujubespool/manager/platform_clients.h>
 
 namespace jujubespool {
@@ -75,6 +76,13 @@
     {
         return m_active && m_manager->isOwnershipConfirmed(now);
     }
+    // The processes that count for this ownership; the set of the ledger from the claim on.
+    const ownership_voters &voters() const
+    {
+        return m_voters;
+    }
+    // Records these processes as the voters, if that is allowed and they are others than before. Call it periodically.
+    void updateVoters(const std::vector<voter> &wanted, instant now);
     // Handles a request of a caller. Call it only after the `claimed` event.
     void handle(const http_call &call, instant now, const http_reply_callback &reply);
     // Refuses a new job because this process is out of processor time. A job that is known already is handled.
@@ -101,6 +109,7 @@
     void claim(instant now);
     void onClaim(const ledger_append_result &outcome, instant now);
     void activate(instant now);
+    void restoreVoters();
     void failClaim(const std::string &cause, instant now);
     void applyOperatorEntry(const ledger_entry &entry, instant now);
     void applyWorkerEntry(const ledger_entry &entry, instant now);
@@ -144,6 +153,9 @@
     bool m_ended = false;
     bool m_resigning = false;
     instant m_lastRenewal;
+    ownership_voters m_voters;
+    // The owner before this one counted the recorded voters, or there was none.
+    bool m_votersTrusted = false;
     std::shared_ptr<const fleet_config> m_config;
     std::map<std::uint64_t, host_maintenance_wave> m_waves;
     std::map<std::string, worker_report> m_reports;
--- a/packages/manager/include/jujubespool/manager/peer_tracker.h
+++ b/packages/manager/include/jujubespool/manager/peer_tracker.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <functional>
+#include <jujubespool/manager/ownership_voters.h>
 #include <jujubespool/manager/relay_helper.h>
 #include <jujubespool/wire/peer_transport.h>
 #include <unordered_map>
@@ -27,12 +28,21 @@
     bool stopping = false;
 };
 
+// A member that gives no sign of life to this process.
+struct silent_member
+{
+    wire::member_image image;
+    // When this process read that the member is asked for a sign of life; empty if nobody has asked.
+    std::optional<instant> askedAt;
+};
+
 class peer_tracker
 {
 public:
     peer_tracker(peer_transport &link, std::uint64_t self, event_log &log);
 
-    // Adds a process, or replaces it if it was restarted under the same node name. An earlier start never replaces a later one.
+    // Adds a process, or replaces it if it was restarted under the same node name. An earlier start never replaces a later one. An entry
+    // that says that its start has ended removes the process, unless it has registered under a later number.
     void updateMember(const std::string &node, const wire::member_image &image, instant now);
     void removeMember(const std::string &node);
     // False if the message was sent to a former process at this address, whose numbers of calls and orders mean nothing here.
@@ -42,11 +52,20 @@
     void recordStatement(std::uint64_t incarnation, const peer_statement &statement);
     // The candidates that can send orders on behalf of this process: those that are alive and have enough capacity.
     std::vector<relay_helper> relayHelpers(instant now) const;
-    // Whether two thirds of the candidates confirm that they know this process as the owner of the epoch and none later. The age of a
-    // confirmation counts from the heartbeat that it answers, so a message that was delayed or that waited through a pause proves nothing.
-    bool confirmOwnership(std::uint64_t epoch, instant now) const;
-    // Whether most candidates know of this epoch, so that no owner before it can be confirmed any more.
-    bool mostCandidatesKnow(std::uint64_t epoch) const;
+    // Whether the process confirms that it knows this process as the owner of the epoch and none later. The age of a confirmation counts
+    // from the heartbeat that it answers, so a message that was delayed or that waited through a pause proves nothing.
+    bool confirms(const voter &asked, std::uint64_t epoch, instant now) const;
+    // Whether the process that runs on the voter's node now knows of this epoch, so that it confirms no owner before it any more. If it is
+    // a later start, the voter has ended.
+    bool knows(const voter &asked, std::uint64_t epoch) const;
+    // The candidates, in the order of their nodes.
+    std::vector<voter> candidates() const;
+    // Members from which no message has come for this long, nor a registration.
+    std::vector<silent_member> silentMembers(duration silence, instant now) const;
+    std::size_t memberCount() const
+    {
+        return m_members.size();
+    }
     // Whether the process is listed as a member.
     bool isMember(std::uint64_t incarnation) const
     {
@@ -79,6 +98,9 @@
         instant addedAt;
         instant lastMessageAt;
         bool messageReceived = false;
+        // When the process registered under its present number, as read here, and when it was asked to do so again.
+        instant registeredAt;
+        std::optional<instant> askedAt;
         peer_statement statement;
         bool candidate = false;
         // Time of the last message to the process; empty while there is no connection to it.
@@ -89,8 +111,7 @@
     bool isAlive(const member &entry, instant now) const;
     static bool isPreferredOwner(const wire::member_image &left, const wire::member_image &right);
     void chooseCandidates();
-    // Whether at least this share of the candidates, including this process, satisfies the condition.
-    bool holdsForShareOfCandidates(double share, const std::function<bool(const member &)> &condition) const;
+    void updateNumber(member &entry, const wire::member_image &image, instant now);
     void sendToAll(bool candidates, wire::peer_message message, instant now);
     void connect(member &entry, instant now);
 
--- a/packages/manager/src/manager_process.cpp
+++ b/packages/manager/src/manager_process.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds HANDOVER_REQUEST_DELAY{ 1500 };
 // A restarted process has forgotten the owner that it knew. It confirms none until the heartbeats of the latest one had time to arrive.
 constexpr milliseconds MIN_AGE_TO_CONFIRM{ 3000 };
+// A process that stops waits this long for the answer of the store that its end is recorded.
+constexpr milliseconds MAX_END_RECORD_TIME{ 300 };
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
 
@@ -50,6 +52,7 @@
     , m_identity{ settings.node, loop.randomNumber() }
     , m_link(loop.base())
     , m_peers(m_link, m_identity.incarnation, log)
+    , m_ends(clients.feeds, m_peers, log)
     , m_router(m_peers, log)
     , m_calls(
           [&loop](std::function<void()> call) { loop.afterPolling(std::move(call)); }, [&loop] { return loop.now(); },
@@ -137,6 +140,7 @@
     if (entry.key == m_settings.node) {
         m_registration.onEntry(readable ? std::optional(image) : std::nullopt);
     }
+    m_ends.onEntry(entry.key, readable ? std::optional(image) : std::nullopt, now);
     if (readable) {
         m_peers.updateMember(entry.key, image, now);
     } else if (!entry.value) {
@@ -151,6 +155,9 @@
     if (m_session) {
         m_session->tick(now);
     }
+    if (owns() && !m_stopping) {
+        updateMembers(now);
+    }
     m_relay.tick(now);
     sendHeartbeat(now);
     m_lastServingAt = canServe(now) ? now : m_lastServingAt;
@@ -165,6 +172,15 @@
     }
 }
 
+// Without a recent record this process may not be the owner any more. Its record of voters would be refused; its ends would not.
+void manager_process::updateMembers(instant now)
+{
+    m_session->updateVoters(m_peers.candidates(), now);
+    if (m_session->storeUnresponsiveFor(now) < OWNER_STORE_TIMEOUT) {
+        m_ends.tick(m_session->epoch(), m_ownerSince, now);
+    }
+}
+
 void manager_process::sendHeartbeat(instant now)
 {
     if (now - m_lastHeartbeat < (owns() ? OWNER_HEARTBEAT_INTERVAL : MEMBER_HEARTBEAT_INTERVAL)) {
@@ -399,8 +415,12 @@
     const platform_clients clients{ m_clients.ledger, m_clients.feeds,      m_relay,        m_clients.hosts,
                                     m_clients.policy, m_clients.waveStatus, m_clients.codec };
     m_session = std::make_unique<owner_session>(clients, m_timers, m_log, m_settings, m_identity, [this] { return m_loop.wallNow(); });
-    m_session->setPeerConfirmation([this](instant then) { return owns() && m_peers.confirmOwnership(m_session->epoch(), then); });
-    m_session->setTakeOverCheck([this] { return owns() && m_peers.mostCandidatesKnow(m_session->epoch()); });
+    m_session->setPeerConfirmation([this](instant then) {
+        return owns() && m_session->voters().confirm([&](const voter &asked) { return m_peers.confirms(asked, m_session->epoch(), then); });
+    });
+    m_session->setTakeOverCheck([this] {
+        return owns() && m_session->voters().excludeFormer([&](const voter &asked) { return m_peers.knows(asked, m_session->epoch()); });
+    });
 }
 
 void manager_process::beginClaim(instant now)
@@ -424,6 +444,7 @@
     m_log.write("ownership", { { "event", std::string(nameOf(event)) }, { "epoch", std::to_string(m_session->epoch()) } });
     m_log.count("ownership_total", nameOf(event));
     if (event == session_event::claimed) {
+        m_ownerSince = now;
         m_relay.begin(m_session->epoch());
         m_relayExecutor.recordEpoch(m_session->epoch());
         m_election.recordHeartbeat(m_session->epoch(), milliseconds(0), now);
@@ -476,6 +497,15 @@
     }
 }
 
+bool manager_process::recordedEnd(instant now)
+{
+    if (!m_endSentAt) {
+        m_endSentAt = now;
+        m_registration.end([this](instant) { m_endAnswered = true; });
+    }
+    return m_endAnswered || now - *m_endSentAt >= MAX_END_RECORD_TIME;
+}
+
 void manager_process::completeStop(instant now)
 {
     switch (m_stop->next(m_callerListener.openCalls(), m_handedOver, now)) {
@@ -486,6 +516,9 @@
         m_router.answerPending(now);
         break;
     case stop_action::end:
+        if (!recordedEnd(now)) {
+            break;
+        }
         m_log.write("stopped", { { "open_calls", std::to_string(m_callerListener.openCalls()) } });
         flushLog();
         m_loop.stop();
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint64_t CLAIM_SEQUENCE_COUNT = 1ULL << 40;
 // Name in the ledger key of the current owner.
 const std::string OWNER_NAME = "current";
+// The same for the voters.
+const std::string VOTERS_NAME = "current";
 
 } // namespace
 
@@ -174,6 +176,7 @@
     image.set_node(m_identity.node);
     image.set_incarnation(m_identity.incarnation);
     image.set_epoch(m_epoch);
+    image.set_counts_voters(m_manager ? m_voters.trusted() : m_votersTrusted);
     image.set_ledger_ms(m_manager ? m_manager->ledgerTime(now) : m_ledgerTimeRead);
     return image;
 }
@@ -217,6 +220,7 @@
     }
     m_epoch = previousOwner.epoch() + 1;
     m_ledgerTimeRead = previousOwner.ledger_ms();
+    m_votersTrusted = previousOwner.epoch() == 0 || previousOwner.counts_voters();
     m_claimSentAt = m_claimAttempts == 0 ? now : m_claimSentAt;
     ++m_claimAttempts;
     const ledger_append call{ m_epoch, claimSequence(), m_ledgerEnd, { ownerEntry(now) }, CLAIM_TIMEOUT };
@@ -258,6 +262,7 @@
     if (m_config) {
         m_manager->setConfig(m_config, now);
     }
+    restoreVoters();
     m_manager->restore(m_ledger, now, m_wallClock());
     for (const auto &[number, wave] : m_waves) {
         m_manager->onWave(wave, m_wallClock());
@@ -266,6 +271,38 @@
     m_onEvent(session_event::claimed, now);
 }
 
+void owner_session::restoreVoters()
+{
+    wire::voters_image image;
+    const auto found = m_ledger.find(ledgerKey(ledger_kind::voters, VOTERS_NAME));
+    const bool readable = found == m_ledger.end() || image.ParseFromString(found->second);
+    if (!readable) {
+        m_log.write("ledger-entry-unreadable", { { "key", found->first } });
+    }
+    m_voters.restore(image, m_votersTrusted && readable);
+    m_log.write("voters-inherited",
+                { { "voters", std::to_string(m_voters.recorded().size()) },
+                  { "by_epoch", std::to_string(image.epoch()) },
+                  { "trusted", m_voters.trusted() ? "yes" : "no" } });
+}
+
+void owner_session::updateVoters(const std::vector<voter> &wanted, instant now)
+{
+    if (!m_active || m_resigning) {
+        return;
+    }
+    const std::optional<wire::voters_image> image = m_voters.change(wanted, m_epoch, m_manager->formerOwnersOver(now));
+    if (!image) {
+        return;
+    }
+    m_log.write("voters-changed",
+                { { "from", std::to_string(m_voters.recorded().size()) },
+                  { "to", std::to_string(wanted.size()) },
+                  { "epoch", std::to_string(m_epoch) } });
+    m_manager->record({ ledgerKey(ledger_kind::voters, VOTERS_NAME), image->SerializeAsString() },
+                      m_lifetime.guard([this](instant) { m_voters.onRecorded(); }), now);
+}
+
 void owner_session::failClaim(const std::string &cause, instant now)
 {
     m_log.write("claim-failed",
--- a/packages/manager/src/peer_tracker.cpp
+++ b/packages/manager/src/peer_tracker.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Shares of the candidates that confirm an ownership, and that must know of a later one to exclude this. They add up to more than one,
-// so that some candidate belongs to both, even if the two owners know slightly different candidates.
-constexpr double CONFIRMING_SHARE = 2.0 / 3;
-constexpr double KNOWING_SHARE = 0.5;
 // Ratio of CPU or network capacity from which a change of owner is worthwhile.
 constexpr double MUCH_MORE_CAPACITY_FACTOR = 1.5;
 // A host with less CPU than this share of the strongest host's serves callers only.
@@ -40,13 +36,26 @@
                       { "known", std::to_string(found->second.image.incarnation()) } });
         return;
     }
+    if (image.ended()) {
+        if (found != m_members.end()) {
+            m_log.write("member-gone",
+                        { { "node", node },
+                          { "incarnation", std::to_string(found->second.image.incarnation()) },
+                          { "ended_incarnation", std::to_string(image.incarnation()) },
+                          { "start_number", std::to_string(image.started_ms()) },
+                          { "by_epoch", std::to_string(image.ended_by_epoch()) } });
+            removeMember(node);
+        }
+        return;
+    }
     if (found != m_members.end() && found->second.image.incarnation() == image.incarnation()) {
-        found->second.image.set_started_ms(image.started_ms());
+        updateNumber(found->second, image, now);
         return;
     }
     removeMember(node);
     m_members[node].image = image;
     m_members[node].addedAt = now;
+    m_members[node].registeredAt = now;
     m_nodes[image.incarnation()] = node;
     chooseCandidates();
     if (image.incarnation() != m_self) {
@@ -54,6 +63,19 @@
     }
 }
 
+void peer_tracker::updateNumber(member &entry, const wire::member_image &image, instant now)
+{
+    if (image.started_ms() > entry.image.started_ms()) {
+        entry.registeredAt = now;
+    }
+    if (image.asked_by_epoch() == 0) {
+        entry.askedAt.reset();
+    } else if (!entry.askedAt) {
+        entry.askedAt = now;
+    }
+    entry.image.set_started_ms(image.started_ms());
+}
+
 void peer_tracker::removeMember(const std::string &node)
 {
     const auto found = m_members.find(node);
@@ -123,30 +145,46 @@
     return helpers;
 }
 
-bool peer_tracker::holdsForShareOfCandidates(double share, const std::function<bool(const member &)> &condition) const
+bool peer_tracker::confirms(const voter &asked, std::uint64_t epoch, instant now) const
 {
-    int candidates = 0;
-    int matching = 0;
-    for (const auto &[node, entry] : m_members) {
-        if (entry.candidate) {
-            ++candidates;
-            matching += entry.image.incarnation() == m_self || condition(entry) ? 1 : 0;
-        }
+    if (asked.incarnation == m_self) {
+        return true;
+    }
+    const member *entry = find(asked.incarnation);
+    if (entry == nullptr) {
+        return false;
     }
-    return candidates > 0 && matching >= share * candidates;
+    const std::optional<instant> &sentAt = entry->statement.ownerSentAt;
+    return entry->statement.epoch == epoch && sentAt && *sentAt <= now && now - *sentAt < PEER_CONFIRMATION_VALIDITY;
 }
 
-bool peer_tracker::confirmOwnership(std::uint64_t epoch, instant now) const
+bool peer_tracker::knows(const voter &asked, std::uint64_t epoch) const
 {
-    return holdsForShareOfCandidates(CONFIRMING_SHARE, [&](const member &entry) {
-        const std::optional<instant> &sentAt = entry.statement.ownerSentAt;
-        return entry.statement.epoch == epoch && sentAt && *sentAt <= now && now - *sentAt < PEER_CONFIRMATION_VALIDITY;
-    });
+    const auto found = m_members.find(asked.node);
+    return found != m_members.end() && (found->second.image.incarnation() == m_self || found->second.statement.epoch >= epoch);
 }
 
-bool peer_tracker::mostCandidatesKnow(std::uint64_t epoch) const
+std::vector<voter> peer_tracker::candidates() const
 {
-    return holdsForShareOfCandidates(KNOWING_SHARE, [&](const member &entry) { return entry.statement.epoch >= epoch; });
+    std::vector<voter> chosen;
+    for (const auto &[node, entry] : m_members) {
+        if (entry.candidate) {
+            chosen.push_back({ node, entry.image.incarnation() });
+        }
+    }
+    return chosen;
+}
+
+std::vector<silent_member> peer_tracker::silentMembers(duration silence, instant now) const
+{
+    std::vector<silent_member> silent;
+    for (const auto &[node, entry] : m_members) {
+        const instant lastSignAt = std::max(entry.registeredAt, entry.messageReceived ? entry.lastMessageAt : entry.registeredAt);
+        if (entry.image.incarnation() != m_self && now - lastSignAt >= silence) {
+            silent.push_back({ entry.image, entry.askedAt });
+        }
+    }
+    return silent;
 }
 
 bool peer_tracker::isCandidate(std::uint64_t incarnation) const
@@ -190,9 +228,8 @@
 
 void peer_tracker::connect(member &entry, instant now)
 {
-    if (!entry.lastUsedAt) {
-        m_link.connect(entry.image.incarnation(), entry.image.endpoint());
-    }
+    // Has no effect while there is a connection. One that could not be opened is tried again.
+    m_link.connect(entry.image.incarnation(), entry.image.endpoint());
     entry.lastUsedAt = std::max(entry.lastUsedAt.value_or(now), now);
 }
 
--- a/packages/manager/test/peer_tracker_test.cpp
+++ b/packages/manager/test/peer_tracker_test.cpp
@@ -23,6 +23,24 @@
         peers.updateMember("node-" + std::to_string(incarnation), image, START);
     }
 
+    // Voters as the ledger holds them: the candidates of this process.
+    ownership_voters recordedVoters() const
+    {
+        ownership_voters voters;
+        voters.restore({}, true);
+        cr_assert(voters.change(peers.candidates(), 1, true).has_value());
+        voters.onRecorded();
+        return voters;
+    }
+    bool confirmed(std::uint64_t epoch, instant now) const
+    {
+        return recordedVoters().confirm([&](const voter &asked) { return peers.confirms(asked, epoch, now); });
+    }
+    bool formerExcluded(std::uint64_t epoch) const
+    {
+        return recordedVoters().excludeFormer([&](const voter &asked) { return peers.knows(asked, epoch); });
+    }
+
     recording_transport transport;
     counting_log log;
     peer_tracker peers{ transport, 1, log };
@@ -240,10 +258,10 @@
         fixture.peers.recordMessage(peer, now);
         fixture.peers.recordStatement(peer, { i == 0 ? testCase.epochOfOne : OWN_EPOCH, now - testCase.age, false });
     }
-    cr_assert_eq(fixture.peers.confirmOwnership(OWN_EPOCH, now), testCase.confirmed, "%s", testCase.name);
+    cr_assert_eq(fixture.confirmed(OWN_EPOCH, now), testCase.confirmed, "%s", testCase.name);
 }
 
-// If most candidates know the later owner, too few are left to confirm an earlier one.
+// If half of the voters know the later owner, too few are left to confirm an earlier one.
 Test(peer_tracker, knowsWhenNoEarlierOwnerCanBeConfirmed)
 {
     tracker_fixture fixture;
@@ -254,7 +272,43 @@
     for (std::uint64_t peer = 2; peer <= 4; ++peer) {
         fixture.peers.recordStatement(peer, { OWN_EPOCH, START, false });
     }
-    cr_assert_not(fixture.peers.mostCandidatesKnow(OWN_EPOCH));
+    cr_assert_not(fixture.formerExcluded(OWN_EPOCH));
     fixture.peers.recordStatement(5, { OWN_EPOCH + 1, START, false });
-    cr_assert(fixture.peers.mostCandidatesKnow(OWN_EPOCH));
+    cr_assert(fixture.formerExcluded(OWN_EPOCH));
+}
+
+// An owner counts the very process that it has recorded. Whoever runs on the node later has forgotten which owner that one knew.
+Test(peer_tracker, aLaterStartConfirmsNothingInPlaceOfAVoterAndShowsThatItHasEnded)
+{
+    tracker_fixture fixture;
+    fixture.add(1, 50, 200);
+    fixture.add(2, 50, 200);
+    const voter former{ "node-2", 2 };
+    wire::member_image image;
+    image.set_incarnation(22);
+    image.set_started_ms(2000);
+    fixture.peers.updateMember("node-2", image, START);
+    fixture.peers.recordStatement(22, { OWN_EPOCH, START, false });
+    cr_assert_not(fixture.peers.confirms(former, OWN_EPOCH, START));
+    cr_assert(fixture.peers.knows(former, OWN_EPOCH));
+    cr_assert_not(fixture.peers.knows(former, OWN_EPOCH + 1));
+    cr_assert_not(fixture.peers.knows({ "node-9", 9 }, OWN_EPOCH));
+}
+
+// An end that is carried out late, or that has met an answer, names a number which the process has left behind.
+Test(peer_tracker, anEndRemovesNoRegistrationUnderALaterNumber)
+{
+    tracker_fixture fixture;
+    wire::member_image image;
+    image.set_incarnation(2);
+    image.set_started_ms(1001);
+    fixture.peers.updateMember("node-2", image, START);
+    wire::member_image end = image;
+    end.set_ended(true);
+    end.set_started_ms(1000);
+    fixture.peers.updateMember("node-2", end, START);
+    cr_assert(fixture.peers.isMember(2));
+    end.set_started_ms(1001);
+    fixture.peers.updateMember("node-2", end, START);
+    cr_assert_not(fixture.peers.isMember(2));
 }
