Treat a peer for which no socket is left as unreachable

Cause of the crash: ZeroMQ throws if it has no socket left, in the constructor, which stood before the try block of connect(). Change: the whole of connect() is covered, and peer_tracker calls it before each message, so the peer is tried again. Before: zmq_peer_transport::peerWithoutASocketIsUnreachableUntilAnotherOneIsClosed fails with the constructor moved back.

--- a/packages/wire/include/jujubespool/wire/zmq_peer_transport.h
+++ b/packages/wire/include/jujubespool/wire/zmq_peer_transport.h
@@ -24,7 +24,8 @@
 class zmq_peer_transport : public peer_transport
 {
 public:
-    explicit zmq_peer_transport(event_base *base);
+    // At most `maxSockets` sockets are open at once, one of them for what arrives; 0 for ZeroMQ's own limit.
+    explicit zmq_peer_transport(event_base *base, int maxSockets = 0);
     ~zmq_peer_transport() override;
     zmq_peer_transport(const zmq_peer_transport &) = delete;
     zmq_peer_transport &operator=(const zmq_peer_transport &) = delete;
--- a/packages/wire/src/zmq_peer_transport.cpp
+++ b/packages/wire/src/zmq_peer_transport.cpp
@@ -17,17 +17,32 @@
 constexpr int RECONNECT_INTERVAL_MS = 100;
 constexpr int MAX_RECONNECT_INTERVAL_MS = 1000;
 
+// ZeroMQ takes the limit only before the first socket.
+zmq::context_t contextOf(int maxSockets)
+{
+    zmq::context_t context{ 1 };
+    if (maxSockets > 0) {
+        context.set(zmq::ctxopt::max_sockets, maxSockets);
+    }
+    return context;
+}
+
 } // namespace
 
 struct zmq_peer_transport::sockets
 {
-    zmq::context_t context{ 1 };
+    explicit sockets(int limit)
+        : context(contextOf(limit))
+    {
+    }
+
+    zmq::context_t context;
     zmq::socket_t inbound{ context, zmq::socket_type::pull };
     std::map<std::uint64_t, zmq::socket_t> outbound;
 };
 
-zmq_peer_transport::zmq_peer_transport(event_base *base)
-    : m_sockets(std::make_unique<sockets>())
+zmq_peer_transport::zmq_peer_transport(event_base *base, int maxSockets)
+    : m_sockets(std::make_unique<sockets>(maxSockets))
     , m_base(base)
 {
 }
@@ -85,23 +100,23 @@
     if (m_sockets->outbound.count(peer) > 0) {
         return;
     }
-    zmq::socket_t outbound(m_sockets->context, zmq::socket_type::push);
-    outbound.set(zmq::sockopt::linger, 0);
-    outbound.set(zmq::sockopt::sndhwm, MAX_QUEUED_MESSAGES);
-    outbound.set(zmq::sockopt::immediate, true);
-    // A connection can fail without being closed. ZeroMQ's heartbeats detect this and trigger a reconnect.
-    outbound.set(zmq::sockopt::heartbeat_ivl, HEARTBEAT_INTERVAL_MS);
-    outbound.set(zmq::sockopt::heartbeat_timeout, HEARTBEAT_TIMEOUT_MS);
-    outbound.set(zmq::sockopt::connect_timeout, CONNECT_TIMEOUT_MS);
-    outbound.set(zmq::sockopt::reconnect_ivl, RECONNECT_INTERVAL_MS);
-    outbound.set(zmq::sockopt::reconnect_ivl_max, MAX_RECONNECT_INTERVAL_MS);
     try {
+        zmq::socket_t outbound(m_sockets->context, zmq::socket_type::push);
+        outbound.set(zmq::sockopt::linger, 0);
+        outbound.set(zmq::sockopt::sndhwm, MAX_QUEUED_MESSAGES);
+        outbound.set(zmq::sockopt::immediate, true);
+        // A connection can fail without being closed. ZeroMQ's heartbeats detect this and trigger a reconnect.
+        outbound.set(zmq::sockopt::heartbeat_ivl, HEARTBEAT_INTERVAL_MS);
+        outbound.set(zmq::sockopt::heartbeat_timeout, HEARTBEAT_TIMEOUT_MS);
+        outbound.set(zmq::sockopt::connect_timeout, CONNECT_TIMEOUT_MS);
+        outbound.set(zmq::sockopt::reconnect_ivl, RECONNECT_INTERVAL_MS);
+        outbound.set(zmq::sockopt::reconnect_ivl_max, MAX_RECONNECT_INTERVAL_MS);
         outbound.connect(endpoint);
+        m_sockets->outbound.emplace(peer, std::move(outbound));
     } catch (const zmq::error_t &) {
-        // An endpoint that ZeroMQ rejects, such as one that cannot be parsed, is handled as an unreachable peer.
-        return;
+        // An endpoint that ZeroMQ rejects, such as one that cannot be parsed, and one for which it has no socket left are handled as an
+        // unreachable peer. connect() may be called again.
     }
-    m_sockets->outbound.emplace(peer, std::move(outbound));
 }
 
 void zmq_peer_transport::disconnect(std::uint64_t peer)
