Count the age of a former owner's order for a host on the clock of the ledger

What could be seen: two owners order for one host within its lease (ONE), with a new owner whose clock is ahead by more than 0.5 s. The record is also older than the order by up to 1.5 s, which was not counted. Change: the record holds the time on the ledger's clock, which never runs ahead, and the lease begins at the latest time at which the order may have been sent (MAX_RECORDING_TIME). Of a record of an earlier version the whole lease is kept. No skew is assumed. Before: host_lease fails for a clock 2 s and an hour ahead.

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -65,8 +65,9 @@
     {
         m_onFenced = std::move(callback);
     }
-    // Registers an order of a former owner: the host receives no orders for the length of the host lease after it.
-    void restoreOrder(const std::string &host, wall_ms orderedAt, wall_ms wall, instant now);
+    // Registers an order that a former owner put on record so long ago, or later: the host receives no orders until the host lease after it
+    // has ended.
+    void restoreOrder(const std::string &host, milliseconds age, instant now);
     // Sets the check that is made before each order; it returns false when another process may own the jobs. The
     // platform fences orders for each host separately, so an order of a former owner would be accepted for a host to
     // which its successor has sent none.
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds UNANSWERED_ORDER_TIMEOUT{ 4000 };
 // The load may have changed entirely by the time that a store which was unavailable has recorded an order.
 constexpr milliseconds MAX_RECORDING_TIME{ 1500 };
-// Largest assumed difference between the clocks of two processes.
-constexpr milliseconds MAX_CLOCK_SKEW{ 500 };
 
 } // namespace
 
@@ -96,12 +94,12 @@
     return host.worker.empty() ? nullptr : m_model.workers().find(host.worker);
 }
 
-void host_controller::restoreOrder(const std::string &host, wall_ms orderedAt, wall_ms wall, instant now)
+void host_controller::restoreOrder(const std::string &host, milliseconds age, instant now)
 {
-    const milliseconds lease = m_model.bounds().hostLease + MAX_CLOCK_SKEW;
-    const milliseconds elapsed(wall - std::min(wall, orderedAt));
-    if (elapsed < lease) {
-        m_leasedUntil[host] = now + lease - elapsed;
+    // The former owner sent the order at most this long after it had put it on record.
+    const milliseconds lease = m_model.bounds().hostLease + MAX_RECORDING_TIME;
+    if (age < lease) {
+        m_leasedUntil[host] = now + lease - age;
     }
 }
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -44,6 +44,7 @@
     m_hostController.setOrderRecorder([this](const std::string &host, std::function<void(instant now)> recorded) {
         wire::host_order_image image;
         image.set_ordered_ms(m_wall);
+        image.set_ordered_ledger_ms(m_clock.at(m_tickedAt));
         m_writer.put({ ledgerKey(ledger_kind::host, host), image.SerializeAsString() });
         m_writer.whenDurable(std::move(recorded), m_tickedAt);
     });
@@ -77,7 +78,9 @@
         } else if (parsed.kind == ledger_kind::wave) {
             restoreWave(parsed.name, value);
         } else if (parsed.kind == ledger_kind::host && hostOrder.ParseFromString(value)) {
-            m_hostController.restoreOrder(parsed.name, hostOrder.ordered_ms(), wall, now);
+            // An order that an earlier version has recorded counts as just sent.
+            const ledger_ms orderedAt = hostOrder.ordered_ledger_ms();
+            m_hostController.restoreOrder(parsed.name, orderedAt == 0 ? milliseconds(0) : m_clock.since(orderedAt, now), now);
         }
     }
     recordMissingEnds(now);
