--- a/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
@@ -37,8 +37,15 @@
     virtual void publishWaveStatus(std::uint64_t wave, bool completed, std::function<void(bool written, instant now)> done) = 0;
 };
 
+// Times of day may differ by any amount, so they are believed for no longer than this: the time for which nobody may have owned the jobs
+// since a wave was first read.
+constexpr milliseconds MAX_UNOWNED_TIME{ 10000 };
+
 // Returns how many hosts have to be out of service at once for the rest of the wave to end in time.
 int hostsNeededAtOnce(int hostsRemaining, milliseconds timeLeft, milliseconds perHost, int maximum);
+// Time since a wave was first read: at least what owners have counted on their steady clocks, and at most MAX_UNOWNED_TIME more, as the
+// times of day of two hosts say.
+milliseconds waveAge(milliseconds counted, wall_ms firstSeenAt, wall_ms wall);
 
 class host_maintenance_controller
 {
@@ -47,12 +54,13 @@
                                 event_log &log);
 
     void setWave(const host_maintenance_wave &wave, wall_ms wall);
-    void restore(std::uint64_t wave, const wire::upkeep_image &image);
+    // Takes over the record of a former owner. `knownFor` is the time since the wave was first read, on the clock of the ledger.
+    void restore(std::uint64_t wave, const wire::upkeep_image &image, milliseconds knownFor, instant now);
     // A former owner may have stopped long-running tasks that still count as running here. No task is evicted until a
     // poll has reported their ends.
     void onTakeOver(instant now);
     // Returns the waves whose record has changed since the last call.
-    std::map<std::uint64_t, wire::upkeep_image> takeChanged();
+    std::map<std::uint64_t, wire::upkeep_image> takeChanged(const ledger_clock &clock, instant now);
     // Returns true when workers have been opened to tasks again.
     bool tick(instant now, wall_ms wall);
     // The host belongs to a wave and its maintenance has not started.
@@ -67,6 +75,8 @@
         host_maintenance_wave wave;
         bool received = false;
         wall_ms firstSeenAt = 0;
+        // The same on this process's steady clock; empty until the wave is first examined.
+        std::optional<instant> knownSince;
         std::set<std::string> started;
         bool completed = false;
         bool publishedRunning = false;
@@ -99,7 +109,7 @@
     void markDueWorkers();
     wave_hosts hostsLeft(const wave_progress &progress, instant now);
     // Time until the part of the deadline that is reserved for failures; 0 once it has begun.
-    static milliseconds timeLeft(const wave_progress &progress, wall_ms wall);
+    static milliseconds timeLeft(const wave_progress &progress, instant now, wall_ms wall);
     // The other argument says since when hosts have had long-running tasks that fit on no other worker, by host.
     void advanceWave(wave_progress &progress, const std::map<std::string, instant> &blockedBefore, instant now, wall_ms wall);
     void drainHosts(const wave_progress &progress, wave_hosts &left, int inMaintenance, instant now, milliseconds timeLeft);
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -144,7 +144,7 @@
     void restoreQueue(const std::string &name, const std::string &value);
     // Logs each job that cannot run, because neither the configuration nor the ledger has its queue.
     void logUnknownQueues();
-    void restoreWave(const std::string &name, const std::string &value);
+    void restoreWave(const std::string &name, const std::string &value, instant now);
     void restoreJob(const wire::job_image &image, instant leaseEnd, instant now);
 
     manager_gateways m_gateways;
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -37,6 +37,12 @@
     return static_cast<int>(std::min<std::int64_t>(maximum, (hostsRemaining + rounds - 1) / rounds));
 }
 
+milliseconds waveAge(milliseconds counted, wall_ms firstSeenAt, wall_ms wall)
+{
+    const milliseconds shown(wall - std::min(wall, firstSeenAt));
+    return std::clamp(shown, counted, counted + MAX_UNOWNED_TIME);
+}
+
 host_maintenance_controller::host_maintenance_controller(fleet_model &model, run_supervisor &runs, host_controller &hosts,
                                                          wave_status_publisher &status, event_log &log)
     : m_model(model)
@@ -68,12 +74,13 @@
                   { "deadline_s", std::to_string(wave.deadline.count()) } });
 }
 
-void host_maintenance_controller::restore(std::uint64_t wave, const wire::upkeep_image &image)
+void host_maintenance_controller::restore(std::uint64_t wave, const wire::upkeep_image &image, milliseconds knownFor, instant now)
 {
     wave_progress &progress = m_waves[wave];
     progress.started.insert(image.begun().begin(), image.begun().end());
     progress.completed = image.completed();
     progress.firstSeenAt = image.known_ms();
+    progress.knownSince = now - knownFor;
 }
 
 void host_maintenance_controller::onTakeOver(instant now)
@@ -81,17 +88,20 @@
     m_evictNotBefore = now + m_model.bounds().stopTime + RUN_END_REPORT_TIME;
 }
 
-std::map<std::uint64_t, wire::upkeep_image> host_maintenance_controller::takeChanged()
+std::map<std::uint64_t, wire::upkeep_image> host_maintenance_controller::takeChanged(const ledger_clock &clock, instant now)
 {
     std::map<std::uint64_t, wire::upkeep_image> images;
     for (const std::uint64_t number : std::exchange(m_changed, {})) {
-        const wave_progress &progress = m_waves[number];
+        wave_progress &progress = m_waves[number];
+        progress.knownSince = progress.knownSince.value_or(now);
+        const auto knownFor = static_cast<ledger_ms>(duration_cast<milliseconds>(now - *progress.knownSince).count());
         wire::upkeep_image &image = images[number];
         for (const std::string &host : progress.started) {
             image.add_begun(host);
         }
         image.set_completed(progress.completed);
         image.set_known_ms(progress.firstSeenAt);
+        image.set_known_ledger_ms(clock.at(now) - std::min(clock.at(now) - 1, knownFor));
     }
     return images;
 }
@@ -115,6 +125,7 @@
     markDueWorkers();
     const std::map<std::string, instant> blockedBefore = std::exchange(m_blockedSince, {});
     for (auto &[number, progress] : m_waves) {
+        progress.knownSince = progress.knownSince.value_or(now);
         if (progress.received && !progress.publishedCompleted) {
             publishStatus(progress);
             if (m_hosts.listed() && !progress.completed) {
@@ -167,9 +178,10 @@
     return left;
 }
 
-milliseconds host_maintenance_controller::timeLeft(const wave_progress &progress, wall_ms wall)
+milliseconds host_maintenance_controller::timeLeft(const wave_progress &progress, instant now, wall_ms wall)
 {
-    const auto sinceFirstSeen = milliseconds(wall - std::min(wall, progress.firstSeenAt));
+    const auto counted = duration_cast<milliseconds>(now - progress.knownSince.value_or(now));
+    const milliseconds sinceFirstSeen = waveAge(counted, progress.firstSeenAt, wall);
     const milliseconds deadline = progress.wave.deadline;
     const milliseconds reserve(static_cast<std::int64_t>(static_cast<double>(deadline.count()) * DEADLINE_RESERVE_SHARE));
     return std::max(milliseconds(0), deadline - std::max(reserve, MIN_DEADLINE_RESERVE) - sinceFirstSeen);
@@ -204,7 +216,7 @@
             m_blockedSince[loaded.host->name] = before == blockedBefore.end() ? now : before->second;
         }
     }
-    drainHosts(progress, left, inMaintenance, now, timeLeft(progress, wall));
+    drainHosts(progress, left, inMaintenance, now, timeLeft(progress, now, wall));
 }
 
 void host_maintenance_controller::drainHosts(const wave_progress &progress, wave_hosts &left, int inMaintenance, instant now,
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -76,7 +76,7 @@
         } else if (parsed.kind == ledger_kind::queue) {
             restoreQueue(parsed.name, value);
         } else if (parsed.kind == ledger_kind::wave) {
-            restoreWave(parsed.name, value);
+            restoreWave(parsed.name, value, now);
         } else if (parsed.kind == ledger_kind::host && hostOrder.ParseFromString(value)) {
             // An order that an earlier version has recorded counts as just sent.
             const ledger_ms orderedAt = hostOrder.ordered_ledger_ms();
@@ -130,7 +130,7 @@
     }
 }
 
-void job_manager::restoreWave(const std::string &name, const std::string &value)
+void job_manager::restoreWave(const std::string &name, const std::string &value, instant now)
 {
     std::uint64_t number = 0;
     wire::upkeep_image image;
@@ -139,7 +139,8 @@
         m_log.write("ledger-entry-unreadable", { { "wave", name } });
         return;
     }
-    m_hostMaintenance.restore(number, image);
+    const ledger_ms knownAt = image.known_ledger_ms();
+    m_hostMaintenance.restore(number, image, knownAt == 0 ? milliseconds(0) : m_clock.since(knownAt, now), now);
 }
 
 void job_manager::restoreJob(const wire::job_image &image, instant leaseEnd, instant now)
@@ -465,7 +466,7 @@
     for (ledger_entry &entry : m_model.takeChangedQueues()) {
         m_writer.put(std::move(entry));
     }
-    for (const auto &[number, image] : m_hostMaintenance.takeChanged()) {
+    for (const auto &[number, image] : m_hostMaintenance.takeChanged(m_clock, now)) {
         m_writer.put({ ledgerKey(ledger_kind::wave, std::to_string(number)), image.SerializeAsString() });
     }
 }
--- a/packages/manager/test/maintenance_test.cpp
+++ b/packages/manager/test/maintenance_test.cpp
@@ -1,6 +1,7 @@
 #include "fake_platform.h"
 #include <criterion/criterion.h>
 #include <jujubespool/jobs/host_maintenance_controller.h>
+#include <jujubespool/testing/table.h>
 
 namespace {
 
@@ -197,3 +198,36 @@
     fixture.maintenanceController.setWave({ 2, { "host-away" }, seconds(30), 1 }, WALL);
     cr_assert_not(fixture.completesWithin(seconds(6)));
 }
+
+struct age_row
+{
+    const char *name;
+    std::int64_t clockDifferenceMs;
+    milliseconds unowned;
+    milliseconds expected;
+};
+
+constexpr milliseconds COUNTED{ 20000 };
+
+const age_row AGES[] = {
+    { "clocks agree", 0, milliseconds(0), COUNTED },
+    { "clocks agree, and nobody owned the jobs for a while", 0, milliseconds(4000), COUNTED + milliseconds(4000) },
+    { "the present clock is back", -2000, milliseconds(0), COUNTED },
+    { "the present clock is an hour back", -3600000, milliseconds(0), COUNTED },
+    { "the present clock is ahead", 2000, milliseconds(0), COUNTED + milliseconds(2000) },
+    { "the present clock is an hour ahead", 3600000, milliseconds(0), COUNTED + MAX_UNOWNED_TIME },
+};
+
+ParameterizedTestParameters(maintenance, ageOfAWaveDependsOnTimesOfDayWithinABound)
+{
+    return rowsOf(AGES);
+}
+
+// Guards against a deadline that is missed, or hosts that are all drained at once, because two owners' clocks differ.
+ParameterizedTest(std::size_t *row, maintenance, ageOfAWaveDependsOnTimesOfDayWithinABound)
+{
+    const age_row &testCase = AGES[*row];
+    const auto passed = COUNTED + testCase.unowned;
+    const wall_ms present = WALL + static_cast<wall_ms>(passed.count()) + static_cast<wall_ms>(testCase.clockDifferenceMs);
+    cr_assert_eq(waveAge(COUNTED, WALL, present).count(), testCase.expected.count(), "%s", testCase.name);
+}
