Look at the end of the idle connections only after searching them

Cause: hasConnectionTo() compared findIdle(), which erases, with an end() that the compiler may evaluate before it; then a list without a connection seems to have one.

--- a/packages/platform/src/http_client.cpp
+++ b/packages/platform/src/http_client.cpp
@@ -305,7 +305,12 @@
 bool http_client::hasConnectionTo(const std::string &address, const std::string &peer)
 {
     const auto found = m_idle.find(address);
-    return found != m_idle.end() && findIdle(found->second, peer) != found->second.end();
+    if (found == m_idle.end()) {
+        return false;
+    }
+    // findIdle() erases connections that have ended, so the end of the list is only looked at after it.
+    const auto idle = findIdle(found->second, peer);
+    return idle != found->second.end();
 }
 
 void http_client::dropOldest(std::vector<connection_entry> &idle)
