Evacuate data centres: no task starts where operators want none

Ruled out: cordons of waves (they end by themselves and open for waiting work); a copy of the state in the ledger (could outlive the operators' record); moving idle hosts away (the data centre would not be back at once). Change: the adapter reads the record, the registry of workers marks the data centre, placement, planner, shares and policy requests follow the mark, and a start that was recorded before is checked again when it is sent and before each repetition.

--- a/packages/jobs/include/jujubespool/jobs/caller_codec.h
+++ b/packages/jobs/include/jujubespool/jobs/caller_codec.h
@@ -20,12 +20,20 @@
     std::string reason;
 };
 
-// The configuration or the wave that an entry in the operators' feed contains.
+// Operators ask that no task starts in a data centre any more, or take that back.
+struct evacuation_request
+{
+    std::string dataCenter;
+    bool evacuate = true;
+};
+
+// What an entry in the operators' feed contains, or what its removal takes back.
 struct operator_entry
 {
     std::shared_ptr<const fleet_config> config;
     std::optional<host_maintenance_wave> wave;
-    // Why the entry is refused; what the former one says stays in force.
+    std::optional<evacuation_request> evacuation;
+    // Why the entry is refused; what the former one says stays in force. An evacuation holds whatever its entry says beside it.
     std::string problem;
 };
 
@@ -39,7 +47,7 @@
     virtual std::string errorBody(const std::string &reason) const = 0;
     // The API key in the value of an Authorization header; empty if there is none.
     virtual std::string keyOf(const std::string &authorization) const = 0;
-    // Config and wave are empty for entries of other kinds and for entries with a problem.
+    // All parts are empty for entries of other kinds; config and wave also for entries with a problem.
     virtual operator_entry parseOperatorEntry(const ledger_entry &entry) const = 0;
     // Empty if the entry cannot be parsed.
     virtual std::optional<worker_report> parseWorkerEntry(const ledger_entry &entry) const = 0;
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -54,6 +54,8 @@
     void onWorkerReport(const worker_report &report, instant now);
     void onWorkerUnlisted(const std::string &id, instant now);
     void onWave(const host_maintenance_wave &wave, wall_ms wall);
+    // From now on no task starts in the data centre, or tasks may start there again.
+    void setEvacuated(const std::string &dataCenter, bool evacuated, instant now);
 
     // Calls back once the job is durable. A job whose id exists already is accepted again without an effect.
     void submit(const job_request &request, const std::function<void(submit_result result)> &done, instant now, wall_ms wall);
@@ -129,6 +131,8 @@
     void schedule(instant now);
     // Sends the start orders of placements that are recorded.
     void sendStarts(const std::vector<placement> &placements, instant now);
+    // Why the start of a recorded placement is not sent; empty if nothing prevents it.
+    std::string_view obstacleTo(const placement &placed, instant now) const;
     void writeChanged(instant now);
     void onJobEnded(const job_id &id, instant now);
     void requestTickets(const ticket_request &request);
--- a/packages/jobs/include/jujubespool/jobs/placement.h
+++ b/packages/jobs/include/jujubespool/jobs/placement.h
@@ -40,7 +40,7 @@
 // True when the worker stays in its pool and one task of the step would fit if only the long-running tasks ran there.
 bool canHoldBesideLongRunningTasks(const worker &target, const step_spec &step);
 
-// True when the worker is listed, ready and polled, and is neither avoided nor cordoned.
+// True when the worker is listed, ready and polled, and is neither avoided nor cordoned nor evacuated.
 bool acceptsNewTasks(const worker &target, instant now);
 
 // The same without regard to a cordon.
--- a/packages/jobs/include/jujubespool/jobs/wait_reason.h
+++ b/packages/jobs/include/jujubespool/jobs/wait_reason.h
@@ -29,6 +29,8 @@
     // No suitable worker accepts tasks. These reasons name the cause of most of them.
     workers_not_listed,
     workers_not_polled,
+    // Operators evacuate their data centres.
+    workers_evacuated,
     workers_cordoned,
     // They do not answer polls.
     workers_silent,
@@ -56,14 +58,34 @@
 
 template <> struct enum_names<wait_reason>
 {
-    static constexpr std::array<std::string_view, 27> NAMES{
-        "queue-unknown",       "dependency-not-done", "store-does-not-answer", "ownership-not-confirmed", "gang-incomplete",
-        "no-worker-in-pool",   "required-label",      "task-too-large",        "workers-not-listed",      "workers-not-polled",
-        "workers-cordoned",    "workers-silent",      "workers-failing-runs",  "workers-avoided",         "team-limit",
-        "max-per-worker",      "no-free-capacity",    "ticket-not-requested",  "ticket-pending",          "ticket-denied",
-        "gang-does-not-fit",   "could-run",           "start-not-answered",    "start-in-doubt",          "being-stopped",
-        "worker-unresponsive", "placement-missing"
-    };
+    static constexpr std::array<std::string_view, 28> NAMES{ "queue-unknown",
+                                                             "dependency-not-done",
+                                                             "store-does-not-answer",
+                                                             "ownership-not-confirmed",
+                                                             "gang-incomplete",
+                                                             "no-worker-in-pool",
+                                                             "required-label",
+                                                             "task-too-large",
+                                                             "workers-not-listed",
+                                                             "workers-not-polled",
+                                                             "workers-evacuated",
+                                                             "workers-cordoned",
+                                                             "workers-silent",
+                                                             "workers-failing-runs",
+                                                             "workers-avoided",
+                                                             "team-limit",
+                                                             "max-per-worker",
+                                                             "no-free-capacity",
+                                                             "ticket-not-requested",
+                                                             "ticket-pending",
+                                                             "ticket-denied",
+                                                             "gang-does-not-fit",
+                                                             "could-run",
+                                                             "start-not-answered",
+                                                             "start-in-doubt",
+                                                             "being-stopped",
+                                                             "worker-unresponsive",
+                                                             "placement-missing" };
 };
 
 // The state of the owner that the model does not hold.
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -53,6 +53,8 @@
     std::uint64_t startTimeMs = 0;
     // While draining: the minimum time until the worker stops.
     milliseconds remaining{ 0 };
+    // How much longer the worker is slow after its start.
+    milliseconds coldRemaining{ 0 };
 
     worker_incarnation incarnation() const
     {
@@ -133,6 +135,10 @@
     instant cordonedUntil;
     // Another pool needs the host more, so the worker is the last choice, and closed to some steps (mayUseLeavingWorkers).
     bool leavingPool = false;
+    // The worker gets no new tasks, because operators evacuate its data centre. Its runs may end.
+    bool evacuated = false;
+    // The worker is slow until then, so others are preferred.
+    instant coldUntil;
     // The host has to be emptied for maintenance at some time.
     bool dueForMaintenance = false;
     // Tasks that have failed on this worker since a run last completed successfully here, without those whose failures have another cause.
@@ -153,6 +159,10 @@
     {
         return cordoned || now < cordonedUntil;
     }
+    bool isCold(instant now) const
+    {
+        return now < coldUntil;
+    }
     bool hasLabel(const std::string &label) const;
     // Empty if the worker does not report its rack.
     std::string rack() const;
@@ -173,6 +183,13 @@
     // Begins a later incarnation of the worker, which has nothing of the present one. Its report is not known yet.
     void replaceWith(const worker_incarnation &later, instant now);
     void markUnlisted(const std::string &id);
+    // Closes the data centre's workers to new tasks, also those that are reported later, or opens them again. Returns false if that
+    // changes nothing.
+    bool setEvacuated(const std::string &dataCenter, bool evacuated);
+    bool isEvacuated(const std::string &dataCenter) const
+    {
+        return m_evacuated.count(dataCenter) > 0;
+    }
     // Removes unlisted workers that have no runs, no poll in flight and no unexpired lease.
     void pruneUnlisted(instant now);
     // The latest known incarnation; null if there is none.
@@ -181,7 +198,7 @@
     worker *find(const worker_incarnation &incarnation);
     // The workers whose latest report names the pool, in the order of their ids.
     const std::vector<worker *> &inPool(const std::string &pool) const;
-    // CPU of the pool's workers that are listed, in thousandths of a core.
+    // CPU of the pool's workers that are listed and not evacuated, in thousandths of a core.
     std::int64_t listedCpuMillis(const std::string &pool) const;
     std::map<std::string, worker> &all()
     {
@@ -203,6 +220,8 @@
 
     std::map<std::string, worker> m_workers;
     std::unordered_map<std::string, pool_members> m_pools;
+    // Data centres, also such that no worker is known of.
+    std::set<std::string> m_evacuated;
 };
 
 } // namespace jujubespool
--- a/packages/jobs/src/free_capacity_index.cpp
+++ b/packages/jobs/src/free_capacity_index.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-bool isAvoided(const worker &target, const placement_request &request)
+bool isAvoided(const worker &target, const placement_request &request, instant now)
 {
-    return target.report.id == request.avoidedWorker || (request.failedOn != nullptr && request.failedOn->count(target.report.id) > 0);
+    return target.isCold(now) || target.report.id == request.avoidedWorker
+        || (request.failedOn != nullptr && request.failedOn->count(target.report.id) > 0);
 }
 
 } // namespace
@@ -87,7 +88,7 @@
     std::vector<worker *> near;
     for (worker *target : workersOnRack(request.step->dataRack)) {
         ++m_examined;
-        if (!target->leavingPool && !isAvoided(*target, request)) {
+        if (!target->leavingPool && !isAvoided(*target, request, now)) {
             near.push_back(target);
         }
     }
@@ -136,7 +137,7 @@
         if (!isEligible(target, request, now)) {
             continue;
         }
-        if (!target.leavingPool && !target.dueForMaintenance && !isAvoided(target, request)) {
+        if (!target.leavingPool && !target.dueForMaintenance && !isAvoided(target, request, now)) {
             return &*entry;
         }
         m_lastChoices.push_back(*entry);
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -205,6 +205,27 @@
     m_hostMaintenance.setWave(wave, wall);
 }
 
+void job_manager::setEvacuated(const std::string &dataCenter, bool evacuated, instant now)
+{
+    if (!m_model.workers().setEvacuated(dataCenter, evacuated)) {
+        return;
+    }
+    std::size_t workers = 0;
+    std::size_t runs = 0;
+    for (const auto &[id, target] : m_model.workers().all()) {
+        const bool concerned = target.report.dataCenter == dataCenter;
+        workers += concerned ? 1 : 0;
+        runs += concerned ? target.runs.size() : 0;
+    }
+    const std::string state = evacuated ? "begun" : "ended";
+    m_log.write(
+        "evacuation",
+        { { "data_center", dataCenter }, { "state", state }, { "workers", std::to_string(workers) }, { "runs", std::to_string(runs) } });
+    m_log.count("evacuations_total", state);
+    requestSchedule(now);
+    processChanges(now);
+}
+
 std::size_t job_manager::maxImageBytes() const
 {
     const std::size_t record = m_model.bounds().maxRecordBytes;
@@ -424,22 +445,35 @@
         now);
 }
 
+std::string_view job_manager::obstacleTo(const placement &placed, instant now) const
+{
+    if (!hasValidTicket(placed, now)) {
+        return "ticket";
+    }
+    const auto target = m_model.workers().all().find(placed.worker);
+    return target != m_model.workers().all().end() && target->second.evacuated ? "evacuated" : "";
+}
+
 void job_manager::sendStarts(const std::vector<placement> &placements, instant now)
 {
     const auto gangOf = [](const placement &placed) {
         return task_key{ placed.task.job, placed.task.occurrence, placed.task.step, 0 };
     };
-    // The members of a gang work only together, so all wait for the ticket of one.
+    // The members of a gang work only together, so none starts if one does not.
     std::set<task_key> withheldGangs;
     for (const placement &placed : placements) {
         const job *owningJob = m_model.find(placed.task.job);
-        if (owningJob != nullptr && owningJob->step(placed.task.step).gang && !hasValidTicket(placed, now)) {
+        if (owningJob != nullptr && owningJob->step(placed.task.step).gang && !obstacleTo(placed, now).empty()) {
             withheldGangs.insert(gangOf(placed));
         }
     }
     for (const placement &placed : placements) {
-        if (!hasValidTicket(placed, now) || withheldGangs.count(gangOf(placed)) > 0) {
-            m_log.write("start-withheld", { { "task", placed.task.text() }, { "worker", placed.worker }, { "reason", "ticket" } });
+        const std::string_view obstacle = obstacleTo(placed, now);
+        if (!obstacle.empty() || withheldGangs.count(gangOf(placed)) > 0) {
+            m_log.write("start-withheld",
+                        { { "task", placed.task.text() },
+                          { "worker", placed.worker },
+                          { "reason", std::string(obstacle.empty() ? "gang" : obstacle) } });
             m_runs.withhold(placed, now);
             continue;
         }
--- a/packages/jobs/src/placement.cpp
+++ b/packages/jobs/src/placement.cpp
@@ -34,11 +34,11 @@
     return millis;
 }
 
-preference preferenceFor(const worker &target, const placement_request &request)
+preference preferenceFor(const worker &target, const placement_request &request, instant now)
 {
     const step_spec &step = *request.step;
     const bool failedHere = request.failedOn != nullptr && request.failedOn->count(target.report.id) > 0;
-    const bool avoided = failedHere || target.report.id == request.avoidedWorker;
+    const bool avoided = failedHere || target.report.id == request.avoidedWorker || target.isCold(now);
     const bool farFromData = !step.dataRack.empty() && target.rack() != step.dataRack;
     const std::int64_t freeCpuMillis = target.freeCapacity().cpuMillis;
     if (step.longRunning) {
@@ -62,7 +62,8 @@
 
 bool wouldAcceptUncordoned(const worker &target, instant now)
 {
-    return target.listed && target.report.state == worker_state::ready && target.polled && target.clockKnown && target.mayGetTasks(now);
+    return target.listed && !target.evacuated && target.report.state == worker_state::ready && target.polled && target.clockKnown
+        && target.mayGetTasks(now);
 }
 
 bool canHoldBesideLongRunningTasks(const worker &target, const step_spec &step)
@@ -117,7 +118,7 @@
     std::vector<std::pair<preference, worker *>> eligible;
     for (worker *target : workers) {
         if (isEligible(*target, request, now)) {
-            eligible.emplace_back(preferenceFor(*target, request), target);
+            eligible.emplace_back(preferenceFor(*target, request, now), target);
         }
     }
     std::stable_sort(eligible.begin(), eligible.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
@@ -156,7 +157,7 @@
         if (!isEligible(*target, request, now)) {
             continue;
         }
-        const preference candidate = preferenceFor(*target, request);
+        const preference candidate = preferenceFor(*target, request, now);
         if (best == nullptr || candidate < bestPreference) {
             best = target;
             bestPreference = candidate;
--- a/packages/jobs/src/pool_rebalancer.cpp
+++ b/packages/jobs/src/pool_rebalancer.cpp
@@ -120,7 +120,7 @@
     m_model.countWorkersExamined(m_model.workers().all().size());
     for (const auto &[id, target] : m_model.workers().all()) {
         const auto found = pools.find(target.report.pool);
-        if (found != pools.end()) {
+        if (found != pools.end() && !target.evacuated) {
             found->second.usedCpuMillis += target.used.cpuMillis;
         }
     }
@@ -148,12 +148,13 @@
         const bool draining = target != nullptr && (target->report.state == worker_state::draining || !target->listed);
         const bool unused = target == nullptr ? found->second.standby : target->runs.empty();
         const bool isFree = m_hosts.acceptsOrders(host, now) && unused;
-        // A worker that is cordoned, does not answer or is avoided provides no capacity.
+        // A worker that is cordoned, does not answer or is avoided provides no capacity, and neither does an evacuated host.
         const bool unusable = target != nullptr && (target->isCordoned(now) || !target->mayGetTasks(now));
+        const bool evacuated = m_model.workers().isEvacuated(host.dataCenter);
         found->second.cordoned += target != nullptr && target->isCordoned(now) ? 1 : 0;
         const bool hasLongRunning = target != nullptr
             && std::any_of(target->runs.begin(), target->runs.end(), [](const auto &entry) { return entry.second.longRunning; });
-        if (!draining && !unusable) {
+        if (!draining && !unusable && !evacuated) {
             const int runs = target == nullptr ? 0 : static_cast<int>(target->runs.size());
             const bool canVacate = m_hosts.acceptsOrders(host, now) && !hasLongRunning;
             const resources freeCapacity = target == nullptr ? host.capacity : target->freeCapacity();
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -119,7 +119,7 @@
         return;
     }
     const bool restarted = target->incarnation() != attempt.worker;
-    if (restarted || !owningJob->needsRun(placed.task) || !m_listener.isOwnershipConfirmed(now)) {
+    if (restarted || target->evacuated || !owningJob->needsRun(placed.task) || !m_listener.isOwnershipConfirmed(now)) {
         giveUpStart(placed.task, now);
         return;
     }
--- a/packages/jobs/src/wait_reason.cpp
+++ b/packages/jobs/src/wait_reason.cpp
@@ -43,6 +43,9 @@
     if (!target.polled || !target.clockKnown) {
         return wait_reason::workers_not_polled;
     }
+    if (target.evacuated) {
+        return wait_reason::workers_evacuated;
+    }
     if (target.isCordoned(now)) {
         return wait_reason::workers_cordoned;
     }
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -10,6 +10,12 @@
 // A single failing job is not enough, because a job that cannot succeed fails on every worker.
 constexpr std::size_t FAILED_JOBS_BEFORE_SUSPICION = 2;
 
+// CPU that the worker adds to what its pool can use, in thousandths of a core.
+std::int64_t usableCpuMillis(const worker &entry)
+{
+    return entry.listed && !entry.evacuated ? entry.report.capacity.cpuMillis : 0;
+}
+
 // The resources of the run that count against the worker's capacity.
 resources countedResources(const placed_run &run)
 {
@@ -95,6 +101,8 @@
         removeFromPool(entry);
     }
     entry.report = report;
+    entry.evacuated = isEvacuated(report.dataCenter);
+    entry.coldUntil = now + report.coldRemaining;
     entry.listed = true;
     entry.reportAwaited = false;
     addToPool(entry);
@@ -110,13 +118,13 @@
         return left->report.id < right->report.id;
     };
     pool.workers.insert(std::lower_bound(pool.workers.begin(), pool.workers.end(), &entry, hasLowerId), &entry);
-    pool.listedCpuMillis += entry.listed ? entry.report.capacity.cpuMillis : 0;
+    pool.listedCpuMillis += usableCpuMillis(entry);
 }
 
 void worker_registry::removeFromPool(const worker &entry)
 {
     const auto pool = m_pools.find(entry.report.pool);
-    pool->second.listedCpuMillis -= entry.listed ? entry.report.capacity.cpuMillis : 0;
+    pool->second.listedCpuMillis -= usableCpuMillis(entry);
     std::erase(pool->second.workers, &entry);
     if (pool->second.workers.empty()) {
         m_pools.erase(pool);
@@ -143,6 +151,7 @@
     worker next;
     next.report = entry.report;
     next.report.startTimeMs = later.startTimeMs;
+    next.evacuated = entry.evacuated;
     next.reportAwaited = true;
     next.nextPollAt = now;
     next.lastResponseAt = now;
@@ -161,6 +170,19 @@
     }
 }
 
+bool worker_registry::setEvacuated(const std::string &dataCenter, bool evacuated)
+{
+    const bool changed = evacuated ? m_evacuated.insert(dataCenter).second : m_evacuated.erase(dataCenter) > 0;
+    for (auto &[id, entry] : m_workers) {
+        if (changed && entry.report.dataCenter == dataCenter) {
+            removeFromPool(entry);
+            entry.evacuated = evacuated;
+            addToPool(entry);
+        }
+    }
+    return changed;
+}
+
 void worker_registry::pruneUnlisted(instant now)
 {
     for (auto position = m_workers.begin(); position != m_workers.end();) {
--- a/packages/jobs/test/run_scheduler_test.cpp
+++ b/packages/jobs/test/run_scheduler_test.cpp
@@ -139,6 +139,25 @@
     }
 }
 
+// A worker that has just started is slow. It helps when the others are full, and counts like them once it is warm.
+Test(run_scheduler, coldWorkersGetTasksOnlyWhenTheOthersAreFull)
+{
+    pool_fixture fixture(1);
+    worker &cold = *fixture.model.workers().find("a0");
+    cold.coldUntil = NOW + seconds(5);
+    for (int i = 0; i < 4; ++i) {
+        fixture.submit(i, 4);
+    }
+    fixture.schedule();
+    cr_assert(cold.runs.empty());
+    cr_assert_eq(fixture.countRuns(), 16);
+    fixture.submit(4, 8);
+    fixture.schedule();
+    cr_assert_eq(cold.runs.size(), 4, "%zu", cold.runs.size());
+    cr_assert_eq(fixture.countRuns(), 24);
+    cr_assert_not(cold.isCold(NOW + seconds(5)));
+}
+
 Test(run_scheduler, placesNothingOnWorkersThatLeaveThePoolWhileOthersHaveRoom)
 {
     pool_fixture fixture(1);
--- a/packages/jobs/test/wait_reason_test.cpp
+++ b/packages/jobs/test/wait_reason_test.cpp
@@ -187,6 +187,11 @@
           fleet.workerNamed("w1").polled = false;
           fleet.workerNamed("w2").clockKnown = false;
       } },
+    { wait_reason::workers_evacuated,
+      [](small_fleet &fleet) {
+          fleet.submit({ stepOf(1) });
+          fleet.changeWorkers([](worker &target) { target.evacuated = true; });
+      } },
     { wait_reason::workers_cordoned,
       [](small_fleet &fleet) {
           fleet.submit({ stepOf(1) });
--- a/packages/manager/include/jujubespool/manager/owner_session.h
+++ b/packages/manager/include/jujubespool/manager/owner_session.h
@@ -112,6 +112,7 @@
     void restoreVoters();
     void failClaim(const std::string &cause, instant now);
     void applyOperatorEntry(const ledger_entry &entry, instant now);
+    void applyEvacuation(const evacuation_request &request, instant now);
     void applyWorkerEntry(const ledger_entry &entry, instant now);
     ledger_entry ownerEntry(instant now) const;
     ledger_entry resignedEntry(instant now) const;
@@ -158,6 +159,8 @@
     bool m_votersTrusted = false;
     std::shared_ptr<const fleet_config> m_config;
     std::map<std::uint64_t, host_maintenance_wave> m_waves;
+    // Data centres that operators evacuate.
+    std::set<std::string> m_evacuated;
     std::map<std::string, worker_report> m_reports;
     std::unique_ptr<job_manager> m_manager;
     std::unique_ptr<job_api_handler> m_apiHandler;
--- a/packages/manager/src/owner_session.cpp
+++ b/packages/manager/src/owner_session.cpp
@@ -92,6 +92,9 @@
             m_manager->setConfig(m_config, now);
         }
     }
+    if (parsed.evacuation) {
+        applyEvacuation(*parsed.evacuation, now);
+    }
     if (parsed.wave) {
         m_waves[parsed.wave->number] = *parsed.wave;
         if (m_manager) {
@@ -100,6 +103,18 @@
     }
 }
 
+void owner_session::applyEvacuation(const evacuation_request &request, instant now)
+{
+    if (request.evacuate) {
+        m_evacuated.insert(request.dataCenter);
+    } else {
+        m_evacuated.erase(request.dataCenter);
+    }
+    if (m_manager) {
+        m_manager->setEvacuated(request.dataCenter, request.evacuate, now);
+    }
+}
+
 void owner_session::applyWorkerEntry(const ledger_entry &entry, instant now)
 {
     const std::optional<worker_report> report = m_clients.codec.parseWorkerEntry(entry);
@@ -262,6 +277,9 @@
     if (m_config) {
         m_manager->setConfig(m_config, now);
     }
+    for (const std::string &dataCenter : m_evacuated) {
+        m_manager->setEvacuated(dataCenter, true, now);
+    }
     restoreVoters();
     m_manager->restore(m_ledger, now, m_wallClock());
     for (const auto &[number, wave] : m_waves) {
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -11,6 +11,8 @@
 constexpr wall_ms WALL_EPOCH_MS = 1800000000000;
 constexpr std::size_t REMEMBERED_APPENDS = 5;
 constexpr std::size_t MAX_ENDS_IN_ANSWER = 500;
+// Begin of the keys of evacuations among the operators' entries.
+const std::string EVACUATION_PREFIX = "evacuate/";
 
 } // namespace
 
@@ -312,10 +314,13 @@
     }
     operator_entry parseOperatorEntry(const ledger_entry &entry) const override
     {
+        if (entry.key.rfind(EVACUATION_PREFIX, 0) == 0) {
+            return { nullptr, std::nullopt, evacuation_request{ entry.key.substr(EVACUATION_PREFIX.size()), entry.value.has_value() }, {} };
+        }
         if (entry.key != "config") {
-            return { nullptr, platform.m_waves.at(std::stoull(entry.key)), {} };
+            return { nullptr, platform.m_waves.at(std::stoull(entry.key)), std::nullopt, {} };
         }
-        return { platform.m_config, std::nullopt, {} };
+        return { platform.m_config, std::nullopt, std::nullopt, {} };
     }
     std::optional<worker_report> parseWorkerEntry(const ledger_entry &entry) const override
     {
@@ -457,6 +462,18 @@
     m_feeds[feed::operators].push_back({ std::to_string(wave.number), "new" });
 }
 
+void fake_platform::publishEvacuation(const std::string &dataCenter, bool evacuate)
+{
+    m_feeds[feed::operators].push_back({ EVACUATION_PREFIX + dataCenter, evacuate ? std::optional<std::string>("{}") : std::nullopt });
+}
+
+void fake_platform::forgetHistory()
+{
+    for (const auto &[which, records] : m_feeds) {
+        m_firstKept[which] = records.size();
+    }
+}
+
 platform_clients fake_platform::clientsOf(const std::string &process)
 {
     std::unique_ptr<fake_process> &entry = m_processes[process];
@@ -560,6 +577,12 @@
     feed_page page;
     page.answered = true;
     const auto found = m_feeds.find(which);
+    const auto firstKept = m_firstKept.find(which);
+    if (firstKept != m_firstKept.end() && from < firstKept->second) {
+        page.answered = false;
+        page.historyTruncated = true;
+        return page;
+    }
     if (found != m_feeds.end()) {
         for (std::uint64_t i = from; i < found->second.size(); ++i) {
             page.entries.push_back({ found->second[i].key, found->second[i].value });
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -134,6 +134,10 @@
     milliseconds maintenanceTime{ 0 };
     // Publishes a maintenance wave, or another version of it.
     void publishWave(const host_maintenance_wave &wave);
+    // Publishes that the data centre is evacuated, or takes that back.
+    void publishEvacuation(const std::string &dataCenter, bool evacuate);
+    // The store has only the newest entry of each key left, and no record that it held before.
+    void forgetHistory();
     // Hosts of the wave whose maintenance has begun.
     const std::set<std::string> &maintained(std::uint64_t wave)
     {
@@ -234,6 +238,8 @@
     std::uint64_t m_nextEventNumber = 0;
     std::priority_queue<event_entry> m_events;
     std::map<feed, std::vector<stored_record>> m_feeds;
+    // By feed: offset of the first record that the store still has.
+    std::map<feed, std::uint64_t> m_firstKept;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_sequence = 0;
     std::deque<std::pair<std::pair<std::uint64_t, std::uint64_t>, ledger_append_result>> m_lastAppends;
