Do not complete a wave while one of its hosts is away

Ruled out: waiting until the deadline (a host that was removed for good would keep the wave open that long).

--- a/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
@@ -78,6 +78,8 @@
         // The same on this process's steady clock; empty until the wave is first examined.
         std::optional<instant> knownSince;
         std::set<std::string> started;
+        // By host: since when it has not been listed.
+        std::map<std::string, instant> unlistedSince{};
         bool completed = false;
         bool publishedRunning = false;
         bool publishedCompleted = false;
@@ -107,7 +109,9 @@
     };
     // Marks the workers whose hosts a wave has still to maintain, and no others.
     void markDueWorkers();
-    wave_hosts hostsLeft(const wave_progress &progress, instant now);
+    wave_hosts hostsLeft(wave_progress &progress, instant now);
+    // The host is not listed and may be listed again.
+    static bool isAway(wave_progress &progress, const std::string &host, instant now);
     // Time until the part of the deadline that is reserved for failures; 0 once it has begun.
     static milliseconds timeLeft(const wave_progress &progress, instant now, wall_ms wall);
     // The other argument says since when hosts have had long-running tasks that fit on no other worker, by host.
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds RUN_END_REPORT_TIME{ 1500 };
 // Each step looks at all hosts of the waves.
 constexpr milliseconds STEP_INTERVAL{ 100 };
+// A host that is not listed for longer does not come back.
+constexpr seconds MAX_AWAY_TIME{ 10 };
 // A host is cordoned only if its runs end within this time by their own estimates. The rest of the time that a cordon may last is for
 // estimates that are too low.
 constexpr milliseconds MAX_EXPECTED_DRAIN{ 5000 };
@@ -156,14 +158,19 @@
     }
 }
 
-host_maintenance_controller::wave_hosts host_maintenance_controller::hostsLeft(const wave_progress &progress, instant now)
+host_maintenance_controller::wave_hosts host_maintenance_controller::hostsLeft(wave_progress &progress, instant now)
 {
     wave_hosts left;
     for (const std::string &name : progress.wave.hosts) {
         const host_entry *host = m_hosts.find(name);
-        if (host == nullptr || progress.started.count(name) > 0) {
+        if (progress.started.count(name) > 0) {
             continue;
         }
+        if (host == nullptr) {
+            left.count += isAway(progress, name, now) ? 1 : 0;
+            continue;
+        }
+        progress.unlistedSince.erase(name);
         ++left.count;
         worker *target = m_hosts.workerOn(*host);
         if (!m_hosts.acceptsOrders(*host, now)) {
@@ -178,6 +185,12 @@
     return left;
 }
 
+bool host_maintenance_controller::isAway(wave_progress &progress, const std::string &host, instant now)
+{
+    const instant since = progress.unlistedSince.emplace(host, now).first->second;
+    return now - since < MAX_AWAY_TIME;
+}
+
 milliseconds host_maintenance_controller::timeLeft(const wave_progress &progress, instant now, wall_ms wall)
 {
     const auto counted = duration_cast<milliseconds>(now - progress.knownSince.value_or(now));
--- a/packages/manager/test/maintenance_test.cpp
+++ b/packages/manager/test/maintenance_test.cpp
@@ -199,6 +199,14 @@
     cr_assert_not(fixture.completesWithin(seconds(6)));
 }
 
+// A host that was removed for good keeps no wave from its end.
+Test(maintenance, waveIsCompletedWhenItsOnlyHostStaysUnlisted)
+{
+    due_host_fixture fixture;
+    fixture.maintenanceController.setWave({ 2, { "host-away" }, seconds(30), 1 }, WALL);
+    cr_assert(fixture.completesWithin(seconds(12)));
+}
+
 struct age_row
 {
     const char *name;
