--- a/packages/jobs/src/fleet_model.cpp
+++ b/packages/jobs/src/fleet_model.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds MAX_TRIAL_INTERVAL{ 2000 };
 // The next one follows a failed run after this time.
 constexpr milliseconds PAUSE_AFTER_FAILURE{ 500 };
+// Speed that a new owner presumes of a best-effort run. The former one may have limited it, so it has to be sped up once.
+constexpr int PRESUMED_SPEED_PERCENT = 70;
 
 } // namespace
 
@@ -223,6 +225,7 @@
     placed.orderedAt = now;
     placed.confirmedAt = now;
     placed.tailLatencyTarget = step.tailLatencyTarget;
+    placed.speedLimitPercent = step.bestEffort ? PRESUMED_SPEED_PERCENT : placed.speedLimitPercent;
     target->place(key, placed);
     target->leaseEnd = std::max(target->leaseEnd, leaseEnd);
     m_usage.add(owningJob.request().team, placed.need);
--- a/packages/jobs/test/speed_limits_test.cpp
+++ b/packages/jobs/test/speed_limits_test.cpp
@@ -2,6 +2,7 @@
 // placed.
 #include <cmath>
 #include <criterion/criterion.h>
+#include <jujubespool/jobs/fleet_model.h>
 #include <jujubespool/jobs/placement.h>
 #include <jujubespool/jobs/speed_limits.h>
 #include <jujubespool/testing/table.h>
@@ -234,6 +235,37 @@
     cr_assert_leq(workers.longestOverTarget().count(), duration(MAX_TIME_OVER_TARGET).count());
 }
 
+// The limits of the former owner are not known, and none of them may stay for ever.
+Test(speed_limits, aNewOwnerSpeedsUpTheBestEffortRunsThatItFinds)
+{
+    fleet_model model{ manager_bounds() };
+    auto config = std::make_shared<fleet_config>();
+    config->queues.push_back({});
+    config->queues[0].name = "q";
+    config->queues[0].pool = "pool";
+    model.setConfig(config);
+    model.workers().update(workerWith("w1", "", {}).report, BEGIN);
+    job_request request;
+    request.id = FILLING_JOB;
+    request.queue = "q";
+    step_spec step;
+    step.count = 1;
+    step.bestEffort = true;
+    request.steps.push_back(step);
+    job &restored = model.add(job::accept(request, 1800000000000));
+    restored.addDueOccurrences(1800000000000, manager_bounds().maxRecordBytes);
+    const task_key key{ FILLING_JOB, 0, 0, 0 };
+    task_progress &task = *restored.task(key);
+    task.phase = task_phase::assigned;
+    task.run = 1;
+    task.worker = "w1";
+    task.startTimeMs = 1;
+    model.restorePlacement(key, BEGIN + seconds(4), BEGIN);
+    const std::vector<speed_change> changes = planSpeedLimits(*model.workers().find("w1"), model.interference(), BEGIN + milliseconds(100));
+    cr_assert_eq(changes.size(), 1);
+    cr_assert_eq(changes[0].percent, 100);
+}
+
 // What was learned fades, so nobody is blamed by an old figure.
 Test(interference_model, evidenceFades)
 {
