--- a/scripts/e2e/soak.sh
+++ b/scripts/e2e/soak.sh
@@ -4,4 +4,5 @@
 set -uo pipefail
 python3 "$(dirname "$0")/../soak.py" --regressions --seconds 8 || exit 1
 python3 "$(dirname "$0")/../soak.py" --profile platform --seed 104 --seconds 8 || exit 1
+python3 "$(dirname "$0")/../soak.py" --profile evacuation --seed 1 --seconds 10 || exit 1
 echo "0 problems"
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -13,6 +13,9 @@
 restart under their ids, before or after their data centre is cut off from the store, lose the answers to starts or carry starts out late; the
 store carries writes out late. Whether a task ran twice is checked only by what the workers log: their starts, ends, acknowledged completions and
 crashes.
+
+The profile "evacuation" has three data centres as well. One is evacuated for most of the play while managers are killed, stopped and paused and
+the store forgets its history; the workers there may start nothing meanwhile, and have to be used again afterwards.
 """
 import argparse
 import asyncio
@@ -33,7 +36,11 @@
 SPARE_POOL = "spare"
 SPARE_HOSTS = 2
 ZONES = "abc"
-MANAGERS = {"processes": 4, "platform": 6}
+MANAGERS = {"processes": 4, "platform": 6, "evacuation": 6}
+EVACUATED_ZONE = "a"
+# Time from the acknowledgement of an evacuation until no start arrives there any more.
+EVACUATION_BOUND_S = 5.0
+LOAD_AFTER_EVACUATION_S = 6.0
 KEY = "soak-key"
 HOST = "jobs.example"
 CALL_TIMEOUT_S = 5.0
@@ -232,7 +239,8 @@
         self.profile = options.profile
         self.binary = os.path.abspath(options.manager)
         self.manager_count = options.managers or MANAGERS[options.profile]
-        self.zones = ZONES if options.profile == "platform" else ZONES[:1]
+        self.zones = ZONES[:1] if options.profile == "processes" else ZONES
+        self.evacuated_from = self.evacuated_until = None
         self.events = os.path.join(directory, "workers.jsonl")
         self.lasting_faults = {}
         # With an odd seed, the other managers send the owner's orders to the workers.
@@ -258,6 +266,10 @@
             tasks = [asyncio.create_task(self.run_client()) for _ in range(CLIENT_COUNT)]
             await self.inject_faults()
             await self.clear_faults()
+            if self.profile == "evacuation":
+                await self.evacuate(False)
+                # New jobs show whether the data centre is used again.
+                await asyncio.sleep(LOAD_AFTER_EVACUATION_S)
             self.stopping = True
             await asyncio.gather(*tasks)
             await self.wait_for_jobs()
@@ -320,7 +332,7 @@
         identity = f"{self.random.getrandbits(64):016x}"
         steps = []
         for number in range(self.random.randint(1, 3)):
-            step = self.small_step() if self.profile == "platform" else \
+            step = self.small_step() if self.profile != "processes" else \
                 {"count": self.random.randint(1, 6), "cpu": self.random.choice([500, 2000]), "mem_mb": 512, "estimated_ms": 200}
             if number:
                 step["after"] = [number - 1]
@@ -330,7 +342,7 @@
         job.always_fails = self.random.random() < 0.04
         fails = ALWAYS_FAILS_COUNT if job.always_fails else self.random.choice([0, 0, 0, 1])
         longest = 900
-        if self.profile == "platform":
+        if self.profile != "processes":
             longest = 300 if any(step["count"] > 100 for step in steps) else 5000 if len(steps) == 1 else 1500
         spec = f"ms={self.random.randint(50, longest)} fail={fails}"
         body = json.dumps({"spec": spec, "steps": steps}).encode()
@@ -381,6 +393,10 @@
             actions = [self.restart_worker, self.cut_zone, self.cut_zone_and_restart, self.break_store, self.lose_starts, self.delay_starts,
                        self.kill, self.pause, self.terminate, self.break_platform_link]
             weights = [6, 3, 5, 4, 2, 2, 1, 1, 1, 1]
+        if self.profile == "evacuation":
+            actions = [self.kill, self.terminate, self.pause, self.kill_all, self.compact_topic]
+            weights = [3, 2, 3, 0.4, 2]
+            await self.evacuate(True)
         running = []
         while time.monotonic() < end:
             action = self.random.choices(actions, weights)[0]
@@ -390,6 +406,13 @@
             await asyncio.sleep(self.random.choice([0.05, 0.3, 0.8, 1.6]))
         await asyncio.gather(*running)
 
+    async def evacuate(self, wanted):
+        if not wanted:
+            self.evacuated_until = time.time()
+        await self.call_standin("POST", f"/operator/evacuate/{EVACUATED_ZONE}", b"{}" if wanted else b"")
+        if wanted:
+            self.evacuated_from = time.time()
+
     async def kill(self, manager, seconds):
         manager.harmed_at = time.monotonic()
         manager.kill()
@@ -533,6 +556,8 @@
     async def check_guarantees(self):
         report = await self.report()
         self.problems += report["violations"] if self.profile == "processes" else runs_that_overlap(self.events)
+        if self.profile == "evacuation":
+            self.problems += starts_in_evacuated_zone(self.events, self.evacuated_from + EVACUATION_BOUND_S, self.evacuated_until)
         done = set(report["done"])
         for job in self.jobs:
             if job.completed and not done.issuperset(job.tasks):
@@ -546,6 +571,17 @@
                 self.problems.append(f"job was cancelled, but is running: {job.path}")
 
 
+def starts_in_evacuated_zone(path, begin, end):
+    """Returns the starts in the data centre between the two times of day, and a line if none came afterwards."""
+    with open(path, encoding="utf-8") as file:
+        events = [json.loads(line) for line in file]
+    starts = [event for event in events if event["event"] == "start" and event["zone"] == EVACUATED_ZONE]
+    problems = [f"{event['task']} was started on {event['worker']} during the evacuation" for event in starts if begin < event["ms"] / 1000 < end]
+    if not any(event["ms"] / 1000 > end for event in starts):
+        problems.append("nothing was started in the data centre after its evacuation")
+    return problems
+
+
 def runs_that_overlap(path):
     """Returns the starts of a task while another worker ran it, or after its end `done` was acknowledged, by what the workers have logged."""
     running, acknowledged, problems = {}, set(), []
