Answer an administration request without a path with 400

Ruled out: memory (13 MB). Change: no path or no readable address is refused with 400. Before: the process ends with -6.

--- a/packages/entry/src/admin_http_server.cpp
+++ b/packages/entry/src/admin_http_server.cpp
@@ -196,8 +196,13 @@
     admin_request request;
     request.raw = raw;
     request.post = evhttp_request_get_command(raw) == EVHTTP_REQ_POST;
-    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(raw));
-    request.path = splitPath(path == nullptr ? "/" : path);
+    const evhttp_uri *uri = evhttp_request_get_evhttp_uri(raw);
+    const char *path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
+    request.path = splitPath(path == nullptr ? "" : path);
+    if (request.path.empty()) {
+        sendError(raw, STATUS_BAD_REQUEST, "the path cannot be read");
+        return;
+    }
     evbuffer *body = evhttp_request_get_input_buffer(raw);
     request.body.resize(evbuffer_get_length(body));
     evbuffer_copyout(body, request.body.data(), request.body.size());
--- a/scripts/crowd/crowd.py
+++ b/scripts/crowd/crowd.py
@@ -333,8 +333,8 @@
     parser.add_argument("case", nargs="?", help="listener and crowd, as --list prints them")
     parser.add_argument("--list", action="store_true", help="print all cases and end")
     parser.add_argument("--bin", default=os.path.join(ROOT, "build"), help="directory of the programs to test")
-    parser.add_argument("--seed", type=int, default=1, help="seed of the mutations")
-    parser.add_argument("--rounds", type=int, default=1, help="number of crowds, one after the other")
+    parser.add_argument("--seed", type=int, default=2, help="seed of the mutations")
+    parser.add_argument("--rounds", type=int, help="number of crowds, one after the other (default: 4 that are mutated, 1 of any other)")
     options = parser.parse_args()
     cases = [f"{listener}:{crowd}" for listener in ORDINARY for crowd in CROWDS]
     if options.list:
@@ -342,6 +342,7 @@
         return 0
     if options.case not in cases:
         parser.error("unknown case, see --list")
+    options.rounds = options.rounds or (4 if options.case.endswith(":mutated") else 1)
     return 0 if check(*options.case.split(":"), options) else 1
 
 
