Count an end from when callers can read it, and answer a durable end without the store

Cause, of what the search found: three ways in which a caller gets less than the promise. 1. The end counted from when the owner heard of it. Callers see it when its record is durable; with the store silent meanwhile, the promise was shorter by the whole silence. 2. A question about a job that had ended long before waited for whatever record was on its way. A caller that asks in time and is told to come back by a take-over heard 410 when it did: no time was left for that. Ruled out: early forgetting by the ledger's clock (ages in the logs: 120.2 to 121.0 s on that clock, 122.7 s and more in true time), jumps of CLOCK_BOOTTIME (trial with a shim: the owner is replaced, nothing is forgotten early). Change: a record of an end that took longer than 1 s is written again with the later time before the end is shown; a durable end is answered at once; ended jobs are kept for status_s and 15 s.

--- a/packages/jobs/include/jujubespool/jobs/job.h
+++ b/packages/jobs/include/jujubespool/jobs/job.h
@@ -224,6 +224,15 @@
     {
         m_end = end;
     }
+    // True when the final state is durable, so that callers may read it.
+    bool isEndDurable() const
+    {
+        return m_endDurable;
+    }
+    void markEndDurable()
+    {
+        m_endDurable = true;
+    }
     bool isRecurring() const
     {
         return m_request.repeatCount > 0;
@@ -313,6 +322,7 @@
     end_record m_end;
     // Not part of the image.
     bool m_started = false;
+    bool m_endDurable = false;
     std::map<int, occurrence_progress> m_occurrences;
     std::vector<milliseconds> m_criticalPaths;
     mutable std::optional<job_demand> m_demand;
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -61,8 +61,10 @@
     void submit(const job_request &request, const std::function<void(submit_result result)> &done, instant now, wall_ms wall);
     // Calls back once the cancellation is durable, then stops the job's runs.
     void cancel(const job_id &id, const std::function<void(cancel_result result)> &done, instant now, wall_ms wall);
-    // Calls back with the state of the job, or without a value for an unknown job. A final state is reported once it is durable.
-    void queryState(const job_id &id, const std::function<void(std::optional<job_state> state)> &done, instant now);
+    // Receives the state of a job, or no value for an unknown job.
+    using state_callback = std::function<void(std::optional<job_state> state)>;
+    // A final state is reported once it is durable, and from then on at once, whether the store answers or not.
+    void queryState(const job_id &id, const state_callback &done, instant now);
     // Number of jobs in the queue of which no task has started.
     int pendingJobCount(const std::string &queue) const;
 
@@ -135,6 +137,12 @@
     std::string_view obstacleTo(const placement &placed, instant now) const;
     void writeChanged(instant now);
     void onJobEnded(const job_id &id, instant now);
+    // The job's next record says that it ended now.
+    void recordEnd(job &endedJob, instant now);
+    // Answers the callers that ask for the job's end once its record is durable. A record that took long is written again first: the end
+    // must not count from long before callers could read it.
+    void showEndOnceDurable(const job_id &id, instant now);
+    void onEndDurable(const job_id &id, instant now);
     void requestTickets(const ticket_request &request);
     // Whether the step, in the form "job.occurrence.step", still has tasks that are not done.
     bool isStepUnfinished(const std::string &step) const;
@@ -163,6 +171,8 @@
     host_maintenance_controller m_hostMaintenance;
     pool_rebalancer m_poolRebalancer;
     wait_reporter m_waitReporter;
+    // Callers that asked for a job whose end is not durable yet.
+    std::map<job_id, std::vector<state_callback>> m_waitingForEnd;
     // When a change called for scheduling first, since the last pass; empty if none has.
     std::optional<instant> m_scheduleNeededSince;
     bool m_resigned = false;
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -227,6 +227,7 @@
     restored.m_acceptedAt = image.accepted_ms();
     restored.m_endedAt = image.ended_ms();
     restored.m_end = { image.ended_ledger_ms(), image.ended_epoch() };
+    restored.m_endDurable = restored.ended();
     for (const wire::occurrence_image &entry : image.occurrences()) {
         occurrence_progress &added = restored.addOccurrence(static_cast<int>(entry.number()));
         added.ended = entry.ended();
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -10,6 +10,10 @@
 
 // Interval at which ended jobs are checked for expiry and scheduling is repeated.
 constexpr seconds EXPIRY_CHECK_INTERVAL{ 1 };
+// A caller may read the end of a job at most this long after the time in its record. A record that took longer is written again.
+constexpr milliseconds MAX_END_RECORD_TIME{ 1000 };
+// A caller that asks for a state in time may be refused for this long, by a take-over at most, and asks again.
+constexpr milliseconds MAX_TIME_REFUSED{ 14000 };
 // If the store has not answered an append for this long, hosts are neither moved nor maintained: each order needs a record, and tasks
 // that lose their host could not be started elsewhere.
 constexpr milliseconds STORE_SILENT_BEFORE_HOSTS_STAY{ 700 };
@@ -116,8 +120,7 @@
         }
     }
     for (const job_id &id : unrecorded) {
-        m_model.find(id)->recordEnd({ m_clock.at(now), m_epoch });
-        m_model.markChanged(id);
+        recordEnd(*m_model.find(id), now);
     }
 }
 
@@ -279,7 +282,7 @@
         now);
 }
 
-void job_manager::queryState(const job_id &id, const std::function<void(std::optional<job_state> state)> &done, instant now)
+void job_manager::queryState(const job_id &id, const state_callback &done, instant now)
 {
     const job *found = m_model.find(id);
     if (found == nullptr) {
@@ -291,8 +294,12 @@
         done(state);
         return;
     }
-    processChanges(now);
-    m_writer.whenDurable([done, state](instant) { done(state); }, now);
+    if (!found->isEndDurable()) {
+        m_waitingForEnd[id].push_back(done);
+        processChanges(now);
+        return;
+    }
+    done(state);
 }
 
 int job_manager::pendingJobCount(const std::string &queue) const
@@ -356,11 +363,11 @@
 void job_manager::removeExpiredJobs(instant now, wall_ms wall)
 {
     std::vector<job_id> expired;
+    const milliseconds retention = m_model.bounds().statusRetention + MAX_END_RECORD_TIME + MAX_TIME_REFUSED;
     m_model.countJobsExamined(m_model.jobs().size());
     for (const auto &[id, stored] : m_model.jobs()) {
-        // An end that has just come is recorded with the next changes.
-        const bool recorded = stored.ended() && stored.endRecord().at != 0;
-        if (recorded && m_clock.since(stored.endRecord().at, now) > m_model.bounds().statusRetention && !stored.hasAssigned()) {
+        const bool readable = stored.isEndDurable() && stored.endRecord().at != 0;
+        if (readable && m_clock.since(stored.endRecord().at, now) > retention && !stored.hasAssigned()) {
             expired.push_back(id);
         }
     }
@@ -484,6 +491,10 @@
 
 void job_manager::writeChanged(instant now)
 {
+    const std::vector<job_id> ended = m_model.takeEnded();
+    for (const job_id &id : ended) {
+        onJobEnded(id, now);
+    }
     for (const job_id &id : m_model.takeChanged()) {
         m_writer.putLazily(ledgerKey(ledger_kind::job, id), [this, id] {
             const job *changed = m_model.find(id);
@@ -494,8 +505,8 @@
             return std::optional(m_image.SerializeAsString());
         });
     }
-    for (const job_id &id : m_model.takeEnded()) {
-        onJobEnded(id, now);
+    for (const job_id &id : ended) {
+        showEndOnceDurable(id, now);
     }
     for (ledger_entry &entry : m_model.takeChangedQueues()) {
         m_writer.put(std::move(entry));
@@ -511,7 +522,7 @@
     if (endedJob == nullptr) {
         return;
     }
-    endedJob->recordEnd({ m_clock.at(now), m_epoch });
+    recordEnd(*endedJob, now);
     const milliseconds age(m_wall - std::min(m_wall, endedJob->acceptedAt()));
     m_log.write("job-changed",
                 { { "job", id }, { "state", std::string(nameOf(endedJob->state())) }, { "age_ms", std::to_string(age.count()) } });
@@ -523,6 +534,41 @@
     }
 }
 
+void job_manager::recordEnd(job &endedJob, instant now)
+{
+    endedJob.recordEnd({ m_clock.at(now), m_epoch });
+    m_model.markChanged(endedJob.request().id);
+}
+
+void job_manager::showEndOnceDurable(const job_id &id, instant now)
+{
+    m_writer.whenDurable([this, id](instant then) { onEndDurable(id, then); }, now);
+}
+
+void job_manager::onEndDurable(const job_id &id, instant now)
+{
+    job *endedJob = m_model.find(id);
+    if (endedJob == nullptr) {
+        return;
+    }
+    const milliseconds recordTime = m_clock.since(endedJob->endRecord().at, now);
+    if (recordTime > MAX_END_RECORD_TIME) {
+        m_log.write("job-end-recorded-late", { { "job", id }, { "record_ms", std::to_string(recordTime.count()) } });
+        recordEnd(*endedJob, now);
+        writeChanged(now);
+        showEndOnceDurable(id, now);
+        return;
+    }
+    endedJob->markEndDurable();
+    const auto waiting = m_waitingForEnd.extract(id);
+    if (waiting.empty()) {
+        return;
+    }
+    for (const state_callback &done : waiting.mapped()) {
+        done(endedJob->state());
+    }
+}
+
 void job_manager::requestTickets(const ticket_request &request)
 {
     m_tickets.recordRequest(request, m_model.workers());
