Suspect the run that was just sped up, and bound the tail ratio that decides

Ruled out by a print of each decision: bounding the ratio alone (still 78 %, as the culprit had faded to unknown when it was sped up). Change: ratios are bounded in one place; a tail that is high within 2 s after a run was sped up is taken for its doing, and only this run is slowed again. Before: 78 % against the bound of 90. The test applies a change by the function that the product uses; its rows and bounds are untouched.

--- a/packages/jobs/include/jujubespool/jobs/interference_model.h
+++ b/packages/jobs/include/jujubespool/jobs/interference_model.h
@@ -16,6 +16,8 @@
 
 namespace jujubespool {
 
+// Higher ratios are counted as this: a figure may be absurd, and one report must not decide alone.
+constexpr double MAX_TAIL_RATIO = 3;
 // A rise of the tail ratio that counts as harm.
 constexpr double MIN_HARM = 0.15;
 
--- a/packages/jobs/include/jujubespool/jobs/speed_limits.h
+++ b/packages/jobs/include/jujubespool/jobs/speed_limits.h
@@ -16,6 +16,8 @@
 enum class speed_change_reason {
     // The run's image is known to harm a serving run here.
     known_harm,
+    // A serving run came near or over its target just after this run was sped up.
+    suspected,
     // A serving run is near or over its target, and what is known does not explain it.
     unexplained,
     // The serving runs have room, or the limit has lasted long.
@@ -24,7 +26,7 @@
 
 template <> struct enum_names<speed_change_reason>
 {
-    static constexpr std::array<std::string_view, 3> NAMES{ "known-harm", "unexplained", "sped-up" };
+    static constexpr std::array<std::string_view, 4> NAMES{ "known-harm", "suspected", "unexplained", "sped-up" };
 };
 
 struct speed_change
@@ -43,6 +45,9 @@
 // Call it after each report of the worker.
 std::vector<speed_change> planSpeedLimits(const worker &target, const interference_model &known, instant now);
 
+// Records a change of the run's speed and returns the former one, in percent.
+int changeSpeed(placed_run &run, int percent, instant now);
+
 // Whether a task of the step would harm a serving run on the worker, or would be harmed by a best-effort run there.
 bool wouldInterfere(const worker &target, const step_spec &step, const interference_model &known, instant now);
 
--- a/packages/jobs/include/jujubespool/jobs/worker_registry.h
+++ b/packages/jobs/include/jujubespool/jobs/worker_registry.h
@@ -86,6 +86,8 @@
     // Limit of the run's speed, in percent of its full speed, and when it was last changed.
     int speedLimitPercent = 100;
     instant speedChangedAt;
+    // The last change of the limit raised it.
+    bool spedUp = false;
     // Latest value that the worker reported: the tail latency in milliseconds for a task with a latency target, otherwise the
     // CPU use.
     std::int64_t reportedMetric = 0;
--- a/packages/jobs/src/interference_model.cpp
+++ b/packages/jobs/src/interference_model.cpp
@@ -13,8 +13,6 @@
 constexpr double EVIDENCE_HALF_LIFE_S = 5;
 // With fewer reports nothing is known.
 constexpr double MIN_REPORTS = 2.5;
-// Higher ratios are counted as this: a figure may be absurd, and one report must not decide alone.
-constexpr double MAX_RATIO = 3;
 // Ratio of a serving image of which nothing is known yet.
 constexpr double USUAL_RATIO = 0.5;
 constexpr std::size_t MAX_PAIRS = 4096;
@@ -42,7 +40,7 @@
         explained += (known == m_pairs.end() ? 0 : known->second.harm) * neighbour.speed;
         weight += neighbour.speed * neighbour.speed;
     }
-    const double correction = LEARNING_RATE * (std::min(tailRatio, MAX_RATIO) - explained) / weight;
+    const double correction = LEARNING_RATE * (std::min(tailRatio, MAX_TAIL_RATIO) - explained) / weight;
     const auto update = [now](pair_state &state, double change) {
         state.harm = std::max(0.0, state.harm + change);
         state.reports = decayed(state.reports, state.updatedAt, now) + 1;
--- a/packages/jobs/src/run_supervisor.cpp
+++ b/packages/jobs/src/run_supervisor.cpp
@@ -313,8 +313,7 @@
                   { "reason", std::string(nameOf(change.reason)) },
                   { "tail_ratio", fmt::format("{:.2f}", change.tailRatio) },
                   { "harm", fmt::format("{:.2f}", change.harm) } });
-    const int formerPercent = std::exchange(run.speedLimitPercent, change.percent);
-    run.speedChangedAt = now;
+    const int formerPercent = changeSpeed(run, change.percent, now);
     const speed_limit_order order{ addressOf(*target), change.task, run.run, change.percent, m_token };
     m_gateway.setSpeedLimit(order, m_lifetime.guard([this, change, formerPercent, number = run.run](const order_result &result, instant) {
         placed_run *current = runOf(change.task, number);
--- a/packages/jobs/src/speed_limits.cpp
+++ b/packages/jobs/src/speed_limits.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds SETTLING_TIME{ 700 };
 // A limit that has lasted this long ends although the tail ratio is not low, as long as it is not high.
 constexpr milliseconds MAX_LIMIT_TIME{ 5000 };
+// A tail ratio that is high within this time after a run was sped up is taken for its doing.
+constexpr milliseconds SUSPICION_TIME{ 2000 };
 
 bool serves(const placed_run &run)
 {
@@ -29,7 +31,8 @@
 
 double tailRatioOf(const placed_run &run)
 {
-    return std::max(0.0, static_cast<double>(run.reportedMetric) / static_cast<double>(run.tailLatencyTarget.count()));
+    const double ratio = static_cast<double>(run.reportedMetric) / static_cast<double>(run.tailLatencyTarget.count());
+    return std::clamp(ratio, 0.0, MAX_TAIL_RATIO);
 }
 
 double speedOf(const placed_run &run)
@@ -61,6 +64,21 @@
     double harm = 0;
 };
 
+// The run whose recent speed-up may explain a high tail ratio; null if there is none.
+const candidate *suspectOf(const std::vector<candidate> &candidates, instant now)
+{
+    const auto found = std::find_if(candidates.begin(), candidates.end(), [now](const candidate &considered) {
+        return considered.run->spedUp && now - considered.run->speedChangedAt < SUSPICION_TIME;
+    });
+    return found == candidates.end() ? nullptr : &*found;
+}
+
+// Undoes the speed-up; over the target the run stands still.
+int suspectedPercent(const placed_run &run, double tailRatio)
+{
+    return tailRatio > 1 ? 0 : std::max(0, run.speedLimitPercent - SPEED_INCREASE_PERCENT);
+}
+
 std::vector<speed_change> slowAll(const std::vector<candidate> &candidates, double tailRatio)
 {
     std::vector<speed_change> changes;
@@ -147,7 +165,21 @@
         }
         candidates.push_back({ &key, &run, worst == nullptr ? 0 : known.harm(worst->image, run.image, now) });
     }
-    return tailRatio > HIGH_TAIL_RATIO ? slowDown(std::move(candidates), tailRatio) : speedUp(candidates, tailRatio, now);
+    if (tailRatio <= HIGH_TAIL_RATIO) {
+        return speedUp(candidates, tailRatio, now);
+    }
+    if (const candidate *suspect = suspectOf(candidates, now)) {
+        return { { *suspect->task, suspectedPercent(*suspect->run, tailRatio), speed_change_reason::suspected, tailRatio, suspect->harm } };
+    }
+    return slowDown(std::move(candidates), tailRatio);
+}
+
+int changeSpeed(placed_run &run, int percent, instant now)
+{
+    const int former = std::exchange(run.speedLimitPercent, percent);
+    run.spedUp = percent > former;
+    run.speedChangedAt = now;
+    return former;
 }
 
 bool wouldInterfere(const worker &target, const step_spec &step, const interference_model &known, instant now)
--- a/packages/jobs/test/speed_limits_test.cpp
+++ b/packages/jobs/test/speed_limits_test.cpp
@@ -125,8 +125,7 @@
         for (const speed_change &change : planSpeedLimits(target, m_known, m_now)) {
             placed_run &run = target.runs.at(change.task);
             m_slowed += change.percent < run.speedLimitPercent ? 1 : 0;
-            run.speedLimitPercent = change.percent;
-            run.speedChangedAt = m_now;
+            changeSpeed(run, change.percent, m_now);
         }
     }
 
