Count a maintenance order without an answer until it is known what became of it

Change: such a host is in doubt. It counts until the list shows it in maintenance, or until the same order is repeated and answered as done, as of another wave or as invalid: the platform does nothing for an order that it has carried out. The host needs no further place in the wave and is emptied first.

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -41,6 +41,12 @@
         const auto order = m_pendingOrders.find(host);
         return order != m_pendingOrders.end() && order->second.toPool.empty();
     }
+    // A maintenance order for the host got no answer and had no effect for long, but may still be carried out. The doubt ends when the host
+    // is seen in maintenance, or when the order is repeated and answered: the platform does nothing for an order that it has carried out.
+    bool isMaintenanceInDoubt(const std::string &host) const
+    {
+        return m_maintenanceInDoubt.count(host) > 0;
+    }
     // The platform has rejected this move, and will do so as long as the pools are the same.
     bool isMoveRejected(const std::string &host, const std::string &pool) const
     {
@@ -100,12 +106,18 @@
         std::string worker;
         // Empty for a maintenance order.
         std::string toPool;
+        bool isMaintenance() const
+        {
+            return toPool.empty();
+        }
         instant orderedAt;
         bool answered = false;
         maintenance_callback done;
     };
     void onList(const host_list &list, instant askedAt, instant now);
     void resolveOrders(instant askedAt, instant now);
+    // Gives up waiting for the answer to an order. A listed host may still be maintained for it.
+    void giveUp(const std::string &host, const pending_order &order);
     void onOrderResult(const order_id &id, const host_order_result &result, instant now);
     // Opens the workers that still work long after an order for their hosts, which had no effect then. Needs no list of hosts.
     void openAfterLostOrders(instant now);
@@ -124,6 +136,8 @@
     std::map<std::string, host_entry> m_hosts;
     std::map<std::string, pending_order> m_pendingOrders;
     std::uint64_t m_lastOrder = 0;
+    // Hosts whose maintenance is in doubt.
+    std::set<std::string> m_maintenanceInDoubt;
     // Pairs of host and pool for which the platform rejects the move.
     std::set<std::pair<std::string, std::string>> m_rejectedMoves;
     // The pools of the configuration.
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -17,6 +17,12 @@
 // The load may have changed entirely by the time that a store which was unavailable has recorded an order.
 constexpr milliseconds MAX_RECORDING_TIME{ 1500 };
 
+// Whether the platform answers an earlier, late order for the same maintenance in the same way, so that it has no effect.
+bool isFinal(host_order_status status)
+{
+    return status == host_order_status::done || status == host_order_status::wrong_wave || status == host_order_status::invalid;
+}
+
 } // namespace
 
 host_controller::host_controller(fleet_model &model, host_gateway &gateway, event_log &log, const std::string &holder,
@@ -53,6 +59,10 @@
         m_hosts[host.name] = host;
     }
     resolveOrders(askedAt, now);
+    std::erase_if(m_maintenanceInDoubt, [this](const std::string &name) {
+        const host_entry *host = find(name);
+        return host == nullptr || host->state == host_condition::maintenance;
+    });
     const duration minInterval = LIST_INTERVAL_PER_HOST * static_cast<int>(m_hosts.size());
     m_nextListAt = askedAt + std::max<duration>(m_pendingOrders.empty() ? LIST_INTERVAL : LIST_INTERVAL_WITH_ORDERS, minInterval);
 }
@@ -63,10 +73,9 @@
         const auto &[name, order] = *entry;
         const host_entry *host = find(name);
         const bool up = host != nullptr && host->state == host_condition::up;
-        const bool isMaintenance = order.toPool.empty();
-        const milliseconds minDuration = isMaintenance ? m_model.bounds().maintenanceTime : m_model.bounds().moveTime;
+        const milliseconds minDuration = order.isMaintenance() ? m_model.bounds().maintenanceTime : m_model.bounds().moveTime;
         bool resolved = false;
-        if (!order.answered && isMaintenance && host != nullptr && host->state == host_condition::maintenance) {
+        if (!order.answered && order.isMaintenance() && host != nullptr && host->state == host_condition::maintenance) {
             // The answer was lost, but the maintenance has started.
             entry->second.answered = true;
             entry->second.orderedAt = now;
@@ -75,6 +84,9 @@
             resolved = host == nullptr || (up && askedAt > order.orderedAt + minDuration);
         } else {
             resolved = (host == nullptr || up) && askedAt > order.orderedAt + UNANSWERED_ORDER_TIMEOUT;
+            if (resolved) {
+                giveUp(name, order);
+            }
         }
         if (resolved) {
             setCordoned(order.worker, false);
@@ -83,6 +95,14 @@
     }
 }
 
+void host_controller::giveUp(const std::string &host, const pending_order &order)
+{
+    if (order.isMaintenance() && find(host) != nullptr) {
+        m_maintenanceInDoubt.insert(host);
+        m_log.write("upkeep-in-doubt", { { "host", host } });
+    }
+}
+
 const host_entry *host_controller::find(const std::string &host) const
 {
     const auto found = m_hosts.find(host);
@@ -129,8 +149,8 @@
     return static_cast<int>(std::count_if(hosts.begin(), hosts.end(), [this](const std::string &name) {
         const auto order = m_pendingOrders.find(name);
         const host_entry *host = find(name);
-        const bool ordered = order != m_pendingOrders.end() && order->second.toPool.empty();
-        return ordered || (host != nullptr && host->state == host_condition::maintenance);
+        const bool ordered = order != m_pendingOrders.end() && order->second.isMaintenance();
+        return ordered || isMaintenanceInDoubt(name) || (host != nullptr && host->state == host_condition::maintenance);
     }));
 }
 
@@ -245,6 +265,9 @@
         return;
     }
     const maintenance_callback done = found->second.done;
+    if (found->second.isMaintenance() && isFinal(result.status)) {
+        m_maintenanceInDoubt.erase(host);
+    }
     if (result.status == host_order_status::done) {
         found->second.answered = true;
         found->second.orderedAt = now;
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -216,9 +216,11 @@
     int inMaintenance = m_hosts.countInMaintenance(progress.wave.hosts);
     for (const host_entry *host : left.idle) {
         const worker *target = m_hosts.workerOn(*host);
-        if (inMaintenance < progress.wave.maximum && (target == nullptr || leavesOneOpen(*host, *target, now))) {
+        // A host whose maintenance is in doubt counts already.
+        const int added = m_hosts.isMaintenanceInDoubt(host->name) ? 0 : 1;
+        if (inMaintenance + added <= progress.wave.maximum && (target == nullptr || leavesOneOpen(*host, *target, now))) {
             startMaintenance(progress, *host, now);
-            ++inMaintenance;
+            inMaintenance += added;
         }
     }
     for (loaded_host &loaded : left.loaded) {
@@ -238,7 +240,8 @@
     const milliseconds perHost = m_model.bounds().maintenanceTime + DRAIN_OVERHEAD;
     int hostsToDrain = hostsNeededAtOnce(left.count, timeLeft, perHost, progress.wave.maximum) - inMaintenance;
     const auto order = [this](const loaded_host &loaded) {
-        return std::make_tuple(!m_cordons.isHeld(loaded.host->name), loaded.target->runs.size(), loaded.host->name);
+        const std::string &name = loaded.host->name;
+        return std::make_tuple(!m_hosts.isMaintenanceInDoubt(name), !m_cordons.isHeld(name), loaded.target->runs.size(), name);
     };
     std::sort(left.loaded.begin(), left.loaded.end(),
               [&order](const loaded_host &first, const loaded_host &second) { return order(first) < order(second); });
@@ -249,7 +252,9 @@
     for (loaded_host &loaded : left.loaded) {
         const std::string &name = loaded.host->name;
         const bool held = m_cordons.isHeld(name);
-        if (!held && (hostsToDrain <= 0 || !m_cordons.mayBegin(name, now))) {
+        // A host whose maintenance is in doubt counts already, and keeps others from theirs until it has been emptied.
+        const bool inDoubt = m_hosts.isMaintenanceInDoubt(name);
+        if (!held && ((hostsToDrain <= 0 && !inDoubt) || !m_cordons.mayBegin(name, now))) {
             continue;
         }
         const std::optional<drain_obstacle> found = obstacleOf(loaded, now, timeLeft);
@@ -261,9 +266,10 @@
             continue;
         }
         m_cordons.hold(name, *loaded.target, progress.wave.number, now);
-        --hostsToDrain;
-        if (!loaded.stranded.empty() && outOfService < progress.wave.maximum && stopStranded(loaded, now, timeLeft)) {
-            ++outOfService;
+        const int added = inDoubt ? 0 : 1;
+        hostsToDrain -= added;
+        if (!loaded.stranded.empty() && outOfService + added <= progress.wave.maximum && stopStranded(loaded, now, timeLeft)) {
+            outOfService += added;
         }
     }
 }
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -268,6 +268,11 @@
     }
     void startMaintenance(const host_order &order, std::uint64_t wave, host_gateway::order_callback done) override
     {
+        if (platform.promptMaintenanceOrders-- <= 0 && platform.lateMaintenanceOrders-- > 0) {
+            platform.after(platform.maintenanceOrderDelay, [this, order, wave](instant) { platform.maintainHost(order.host, wave); });
+            answer(CALL_TIMEOUT, host_order_result{ host_order_status::unknown, {} }, done);
+            return;
+        }
         const bool effective = platform.maintenanceTime.count() > 0;
         const host_order_status status = effective ? platform.maintainHost(order.host, wave) : host_order_status::done;
         answer(LATENCY, host_order_result{ status, {} }, done);
--- a/packages/manager/test/fake_platform.h
+++ b/packages/manager/test/fake_platform.h
@@ -149,6 +149,10 @@
     // The answers to orders for hosts are lost, and whether the host service answers at all.
     bool hostAnswersLost = false;
     bool hostServiceDown = false;
+    // Of the maintenance orders, this many, after so many others, get no answer and are carried out this much later.
+    int lateMaintenanceOrders = 0;
+    int promptMaintenanceOrders = 0;
+    milliseconds maintenanceOrderDelay{ 0 };
     // The store refuses appends with a larger record; 0 for no limit.
     std::size_t maxRecordBytes = 0;
     // Everything that runs on the worker is gone, and it answers nothing.
--- a/packages/manager/test/wave_test.cpp
+++ b/packages/manager/test/wave_test.cpp
@@ -19,10 +19,13 @@
 constexpr seconds SUBMISSION_INTERVAL{ 2 };
 // Jobs are submitted until this long after the deadline, and then have the time to start.
 constexpr seconds SUBMISSIONS_AFTER_DEADLINE{ 12 };
+constexpr milliseconds LONG_FILLING_TIME{ 600000 };
+// Ends before an order without an answer is given up.
+constexpr milliseconds SHORT_FILLING_TIME{ 3500 };
 const std::string FILLING_JOB = "00000000000000a1";
 
 // What occupies a part of each host of the pool.
-enum class filling { lasting, ordinary, underestimated };
+enum class filling { lasting, ordinary, underestimated, short_lived };
 
 struct wave_case
 {
@@ -53,6 +56,31 @@
     { "more at a time than there are", filling::lasting, 1, 1, 9, false, false, POOL_HOSTS },
 };
 
+struct late_order_case
+{
+    const char *name;
+    filling kind;
+    int waveMaximum;
+    // The orders after so many others, this many, get no answer and are carried out late.
+    int promptOrders;
+    int lateOrders;
+    milliseconds delay;
+};
+
+// The hosts of the other pool are empty and stand last in the wave, so the first order is for one of them.
+const late_order_case LATE_ORDERS[] = {
+    { "the first order is 9 s late", filling::short_lived, 1, 0, 1, seconds(9) },
+    { "the second order is 9 s late", filling::short_lived, 1, 1, 1, seconds(9) },
+    { "the first order is 5 s late", filling::short_lived, 1, 0, 1, seconds(5) },
+    { "the first order is 12 s late", filling::short_lived, 1, 0, 1, seconds(12) },
+    { "the first order never comes", filling::short_lived, 1, 0, 1, seconds(600) },
+    { "the repeated order is late as well", filling::short_lived, 1, 0, 2, seconds(9) },
+    { "two at a time, the first order is late", filling::short_lived, 2, 0, 1, seconds(9) },
+    { "two at a time, both orders are late", filling::short_lived, 2, 0, 2, seconds(9) },
+    { "beside lasting tasks, the first order is late", filling::lasting, 1, 0, 1, seconds(9) },
+    { "beside lasting tasks, the third order is late", filling::lasting, 1, 2, 1, seconds(9) },
+};
+
 std::string poolHost(int number)
 {
     return "m-" + std::to_string(number);
@@ -69,7 +97,8 @@
         platform.stopTime = milliseconds(200);
         platform.checksAvailability = true;
         platform.runTime = [this](const task_key &key) {
-            return isFilling(key.job) ? milliseconds(600000) : milliseconds(500);
+            const milliseconds fillingTime = m_case.kind == filling::short_lived ? SHORT_FILLING_TIME : LONG_FILLING_TIME;
+            return isFilling(key.job) ? fillingTime : milliseconds(500);
         };
         fleet_config config = configWithOneQueue();
         config.pools["pool"] = { "pool", true, false, {} };
@@ -264,3 +293,26 @@
         cr_expect(false, "%s: %s", played.name, violation.c_str());
     }
 }
+
+ParameterizedTestParameters(wave, keepsItsLimitWhenOrdersAreCarriedOutLate)
+{
+    return rowsOf(LATE_ORDERS);
+}
+
+// Guards against LIMIT (review/9): an order without an answer was given up after 4 s, and was carried out beside the next one.
+ParameterizedTest(std::size_t *row, wave, keepsItsLimitWhenOrdersAreCarriedOutLate)
+{
+    const late_order_case &late = LATE_ORDERS[*row];
+    const wave_case played{ late.name, late.kind, 1, 1, late.waveMaximum, false, false, POOL_HOSTS };
+    wave_play play(played);
+    play.platform.promptMaintenanceOrders = late.promptOrders;
+    play.platform.lateMaintenanceOrders = late.lateOrders;
+    play.platform.maintenanceOrderDelay = late.delay;
+    play.publishWave(1);
+    play.playWithJobs(DEADLINE + SUBMISSIONS_AFTER_DEADLINE);
+    cr_expect_geq(play.maintainedPoolHosts(1), played.minMaintained, "%s: %d hosts are maintained", played.name,
+                  play.maintainedPoolHosts(1));
+    for (const std::string &violation : play.platform.violations()) {
+        cr_expect(false, "%s: %s", played.name, violation.c_str());
+    }
+}
