Keep a maintenance order in doubt through a take-over

Cause: what became of an order without an answer was known to its owner alone; the next one began another host beside it (LIMIT). Change: the record of an order for a host says for which wave it is; an owner that takes over has each such order in doubt whose host the wave's record does not show as begun. Records of earlier versions count as moves. Before: the row 'a process takes over at once' of wave::keepsItsLimitWhenOrdersAreCarriedOutLate fails; the other two new rows hold before as well.

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -12,6 +12,14 @@
 
 namespace jujubespool {
 
+// What is put on record of an order before it is sent.
+struct host_order_record
+{
+    std::string host;
+    // The wave of a maintenance order; empty for a move.
+    std::optional<std::uint64_t> wave;
+};
+
 class host_controller
 {
 public:
@@ -74,6 +82,11 @@
     // Registers an order that a former owner put on record so long ago, or later: the host receives no orders until the host lease after it
     // has ended.
     void restoreOrder(const std::string &host, milliseconds age, instant now);
+    // Registers that a former owner ordered the maintenance of the host, and that it is not known whether it has begun.
+    void restoreMaintenanceInDoubt(const std::string &host)
+    {
+        m_maintenanceInDoubt.insert(host);
+    }
     // Sets the check that is made before each order; it returns false when another process may own the jobs. The
     // platform fences orders for each host separately, so an order of a former owner would be accepted for a host to
     // which its successor has sent none.
@@ -81,8 +94,8 @@
     {
         m_checkOwnership = std::move(check);
     }
-    // Records durably that an order for the host is about to be sent, then calls back.
-    using order_recorder = std::function<void(const std::string &host, std::function<void(instant now)> recorded)>;
+    // Records durably that an order is about to be sent, then calls back.
+    using order_recorder = std::function<void(const host_order_record &order, std::function<void(instant now)> recorded)>;
     void setOrderRecorder(order_recorder record)
     {
         m_recordOrder = std::move(record);
@@ -125,7 +138,7 @@
     order_id beginOrder(const std::string &host, const std::string &toPool, maintenance_callback done, instant now);
     // Records the order and then sends it, unless the ownership can no longer be confirmed or the record took so long that the
     // decision is out of date.
-    void sendAfterRecording(const order_id &id, std::function<void()> send, instant now);
+    void sendAfterRecording(const order_id &id, std::optional<std::uint64_t> wave, std::function<void()> send, instant now);
     void cancelOrder(const order_id &id, const std::string &reason, instant now);
 
     fleet_model &m_model;
--- a/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_maintenance_controller.h
@@ -56,8 +56,10 @@
     void setWave(const host_maintenance_wave &wave, wall_ms wall);
     // Takes over the record of a former owner. `knownFor` is the time since the wave was first read, on the clock of the ledger.
     void restore(std::uint64_t wave, const wire::upkeep_image &image, milliseconds knownFor, instant now);
-    // A former owner may have stopped long-running tasks that still count as running here. No task is evicted until a
-    // poll has reported their ends.
+    // Takes over the record of a former owner's maintenance order. Its effect is in doubt unless the wave's record contains the host.
+    void restoreOrder(const std::string &host, std::uint64_t wave);
+    // Call it when all records have been restored. A former owner may have stopped long-running tasks that still count as running here. No
+    // task is evicted until a poll has reported their ends.
     void onTakeOver(instant now);
     // Returns the waves whose record has changed since the last call.
     std::map<std::uint64_t, wire::upkeep_image> takeChanged(const ledger_clock &clock, instant now);
@@ -146,6 +148,8 @@
     event_log &m_log;
     std::map<std::uint64_t, wave_progress> m_waves;
     std::set<std::uint64_t> m_changed;
+    // Hosts and waves of the former owners' maintenance orders, until all records have been restored.
+    std::vector<std::pair<std::string, std::uint64_t>> m_restoredOrders;
     instant m_evictNotBefore;
     instant m_nextStepAt;
     // By pool: number of hosts with long-running tasks that fitted on no other worker at the last tick.
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -153,6 +153,7 @@
     void forget(const job_id &id, instant now, wall_ms wall);
     // Jobs that an earlier version has recorded count as ended now.
     void recordMissingEnds(instant now);
+    void restoreHostOrder(const std::string &host, const wire::host_order_image &image, instant now);
     void restoreQueue(const std::string &name, const std::string &value);
     // Logs each job that cannot run, because neither the configuration nor the ledger has its queue.
     void logUnknownQueues();
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -191,7 +191,7 @@
     const order_id id = beginOrder(host, pool, {}, now);
     m_nextListAt = std::min(m_nextListAt, now + m_model.bounds().moveTime);
     sendAfterRecording(
-        id,
+        id, std::nullopt,
         [this, id, pool] {
             m_gateway.move(
                 { id.host, m_holder, m_token }, pool,
@@ -205,7 +205,7 @@
     m_log.write("upkeep-ordered", { { "wave", std::to_string(wave) }, { "host", host } });
     const order_id id = beginOrder(host, {}, std::move(done), now);
     sendAfterRecording(
-        id,
+        id, wave,
         [this, id, wave] {
             m_gateway.startMaintenance(
                 { id.host, m_holder, m_token }, wave,
@@ -226,9 +226,9 @@
     }
 }
 
-void host_controller::sendAfterRecording(const order_id &id, std::function<void()> send, instant now)
+void host_controller::sendAfterRecording(const order_id &id, std::optional<std::uint64_t> wave, std::function<void()> send, instant now)
 {
-    m_recordOrder(id.host, m_lifetime.guard([this, id, send = std::move(send), decidedAt = now](instant recordedAt) {
+    m_recordOrder({ id.host, wave }, m_lifetime.guard([this, id, send = std::move(send), decidedAt = now](instant recordedAt) {
         if (!isOwnershipConfirmed(recordedAt)) {
             cancelOrder(id, "the ownership is not confirmed", recordedAt);
         } else if (recordedAt - decidedAt > MAX_RECORDING_TIME) {
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -85,8 +85,19 @@
     progress.knownSince = now - knownFor;
 }
 
+void host_maintenance_controller::restoreOrder(const std::string &host, std::uint64_t wave)
+{
+    m_restoredOrders.emplace_back(host, wave);
+}
+
 void host_maintenance_controller::onTakeOver(instant now)
 {
+    for (const auto &[host, wave] : std::exchange(m_restoredOrders, {})) {
+        const auto found = m_waves.find(wave);
+        if (found != m_waves.end() && !found->second.completed && found->second.started.count(host) == 0) {
+            m_hosts.restoreMaintenanceInDoubt(host);
+        }
+    }
     m_evictNotBefore = now + m_model.bounds().stopTime + RUN_END_REPORT_TIME;
 }
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -45,11 +45,14 @@
     m_writer.confirm(owned.claimSentAt);
     m_writer.onFenced([this](instant now) { onFenced(now); });
     m_writer.onReadyForNextAppend([this](instant now) { processChanges(now); });
-    m_hostController.setOrderRecorder([this](const std::string &host, std::function<void(instant now)> recorded) {
+    m_hostController.setOrderRecorder([this](const host_order_record &order, std::function<void(instant now)> recorded) {
         wire::host_order_image image;
+        if (order.wave) {
+            image.set_wave(*order.wave);
+        }
         image.set_ordered_ms(m_wall);
         image.set_ordered_ledger_ms(m_clock.at(m_tickedAt));
-        m_writer.put({ ledgerKey(ledger_kind::host, host), image.SerializeAsString() });
+        m_writer.put({ ledgerKey(ledger_kind::host, order.host), image.SerializeAsString() });
         m_writer.whenDurable(std::move(recorded), m_tickedAt);
     });
     m_hostController.setOwnershipCheck([this](instant now) { return isOwnershipConfirmed(now); });
@@ -82,9 +85,7 @@
         } else if (parsed.kind == ledger_kind::wave) {
             restoreWave(parsed.name, value, now);
         } else if (parsed.kind == ledger_kind::host && hostOrder.ParseFromString(value)) {
-            // An order that an earlier version has recorded counts as just sent.
-            const ledger_ms orderedAt = hostOrder.ordered_ledger_ms();
-            m_hostController.restoreOrder(parsed.name, orderedAt == 0 ? milliseconds(0) : m_clock.since(orderedAt, now), now);
+            restoreHostOrder(parsed.name, hostOrder, now);
         }
     }
     recordMissingEnds(now);
@@ -101,6 +102,16 @@
     processChanges(now);
 }
 
+void job_manager::restoreHostOrder(const std::string &host, const wire::host_order_image &image, instant now)
+{
+    // An order that an earlier version has recorded counts as just sent.
+    const ledger_ms orderedAt = image.ordered_ledger_ms();
+    m_hostController.restoreOrder(host, orderedAt == 0 ? milliseconds(0) : m_clock.since(orderedAt, now), now);
+    if (image.has_wave()) {
+        m_hostMaintenance.restoreOrder(host, image.wave());
+    }
+}
+
 void job_manager::restoreQueue(const std::string &name, const std::string &value)
 {
     const std::optional<queue_config> queue = queueFromImage(value);
--- a/packages/jobs/test/host_demand_test.cpp
+++ b/packages/jobs/test/host_demand_test.cpp
@@ -32,7 +32,7 @@
         addPool("other");
         addPool("pool");
         m_model.setConfig(m_config);
-        m_hosts.setOrderRecorder([this](const std::string &, const std::function<void(instant now)> &recorded) { recorded(m_now); });
+        m_hosts.setOrderRecorder([this](const host_order_record &, const std::function<void(instant now)> &recorded) { recorded(m_now); });
     }
 
     void limitTeam(const resources &limit)
--- a/packages/manager/test/host_order_test.cpp
+++ b/packages/manager/test/host_order_test.cpp
@@ -54,8 +54,9 @@
         m_model.workers().update(m_platform.workerNamed("w1").report, m_platform.now());
         target().polled = true;
         target().clockKnown = true;
-        m_hosts.setOrderRecorder(
-            [this](const std::string &, const std::function<void(instant now)> &recorded) { m_platform.after(m_recordingTime, recorded); });
+        m_hosts.setOrderRecorder([this](const host_order_record &, const std::function<void(instant now)> &recorded) {
+            m_platform.after(m_recordingTime, recorded);
+        });
         advance(milliseconds(500));
     }
 
--- a/packages/manager/test/wave_test.cpp
+++ b/packages/manager/test/wave_test.cpp
@@ -19,6 +19,7 @@
 constexpr seconds SUBMISSION_INTERVAL{ 2 };
 // Jobs are submitted until this long after the deadline, and then have the time to start.
 constexpr seconds SUBMISSIONS_AFTER_DEADLINE{ 12 };
+constexpr milliseconds TAKE_OVER_TIME{ 200 };
 constexpr milliseconds LONG_FILLING_TIME{ 600000 };
 // Ends before an order without an answer is given up.
 constexpr milliseconds SHORT_FILLING_TIME{ 3500 };
@@ -65,20 +66,25 @@
     int promptOrders;
     int lateOrders;
     milliseconds delay;
+    // Another process takes over this long after the wave was published; empty if none does.
+    std::optional<milliseconds> takeOverAfter;
 };
 
 // The hosts of the other pool are empty and stand last in the wave, so the first order is for one of them.
 const late_order_case LATE_ORDERS[] = {
-    { "the first order is 9 s late", filling::short_lived, 1, 0, 1, seconds(9) },
-    { "the second order is 9 s late", filling::short_lived, 1, 1, 1, seconds(9) },
-    { "the first order is 5 s late", filling::short_lived, 1, 0, 1, seconds(5) },
-    { "the first order is 12 s late", filling::short_lived, 1, 0, 1, seconds(12) },
-    { "the first order never comes", filling::short_lived, 1, 0, 1, seconds(600) },
-    { "the repeated order is late as well", filling::short_lived, 1, 0, 2, seconds(9) },
-    { "two at a time, the first order is late", filling::short_lived, 2, 0, 1, seconds(9) },
-    { "two at a time, both orders are late", filling::short_lived, 2, 0, 2, seconds(9) },
-    { "beside lasting tasks, the first order is late", filling::lasting, 1, 0, 1, seconds(9) },
-    { "beside lasting tasks, the third order is late", filling::lasting, 1, 2, 1, seconds(9) },
+    { "the first order is 9 s late", filling::short_lived, 1, 0, 1, seconds(9), std::nullopt },
+    { "the second order is 9 s late", filling::short_lived, 1, 1, 1, seconds(9), std::nullopt },
+    { "the first order is 5 s late", filling::short_lived, 1, 0, 1, seconds(5), std::nullopt },
+    { "the first order is 12 s late", filling::short_lived, 1, 0, 1, seconds(12), std::nullopt },
+    { "the first order never comes", filling::short_lived, 1, 0, 1, seconds(600), std::nullopt },
+    { "the repeated order is late as well", filling::short_lived, 1, 0, 2, seconds(9), std::nullopt },
+    { "two at a time, the first order is late", filling::short_lived, 2, 0, 1, seconds(9), std::nullopt },
+    { "two at a time, both orders are late", filling::short_lived, 2, 0, 2, seconds(9), std::nullopt },
+    { "beside lasting tasks, the first order is late", filling::lasting, 1, 0, 1, seconds(9), std::nullopt },
+    { "beside lasting tasks, the third order is late", filling::lasting, 1, 2, 1, seconds(9), std::nullopt },
+    { "a process takes over at once", filling::short_lived, 1, 0, 1, seconds(9), seconds(1) },
+    { "a process takes over once the order is given up", filling::short_lived, 1, 0, 1, seconds(9), seconds(5) },
+    { "a process takes over, two at a time", filling::short_lived, 2, 0, 2, seconds(9), seconds(3) },
 };
 
 std::string poolHost(int number)
@@ -309,6 +315,11 @@
     play.platform.lateMaintenanceOrders = late.lateOrders;
     play.platform.maintenanceOrderDelay = late.delay;
     play.publishWave(1);
+    if (late.takeOverAfter) {
+        play.playWithJobs(*late.takeOverAfter);
+        play.own("entry-2", 22);
+        play.advance(TAKE_OVER_TIME);
+    }
     play.playWithJobs(DEADLINE + SUBMISSIONS_AFTER_DEADLINE);
     cr_expect_geq(play.maintainedPoolHosts(1), played.minMaintained, "%s: %d hosts are maintained", played.name,
                   play.maintainedPoolHosts(1));
