Let no number of hosts in doubt stop a wave

Change: a refused maintenance order is taken off the record; a host in doubt waits only for those that certainly are in maintenance. Before: maintenance::hostsInDoubtBeyondTheMaximumAreMaintained fails (no order within 2 s). The fixture of maintenance_test now has orders put on record, which it needs for an order; its other tests order nothing.

--- a/packages/jobs/include/jujubespool/jobs/host_controller.h
+++ b/packages/jobs/include/jujubespool/jobs/host_controller.h
@@ -47,13 +47,13 @@
     bool isMaintenancePending(const std::string &host) const
     {
         const auto order = m_pendingOrders.find(host);
-        return order != m_pendingOrders.end() && order->second.toPool.empty();
+        return order != m_pendingOrders.end() && order->second.isMaintenance();
     }
     // A maintenance order for the host got no answer and had no effect for long, but may still be carried out. The doubt ends when the host
     // is seen in maintenance, or when the order is repeated and answered: the platform does nothing for an order that it has carried out.
     bool isMaintenanceInDoubt(const std::string &host) const
     {
-        return m_maintenanceInDoubt.count(host) > 0;
+        return m_maintenanceInDoubt.count(host) > 0 && !isMaintenancePending(host);
     }
     // The platform has rejected this move, and will do so as long as the pools are the same.
     bool isMoveRejected(const std::string &host, const std::string &pool) const
@@ -66,8 +66,9 @@
     std::string pendingPoolOf(const std::string &host) const;
     // Number of hosts with a pending move to the pool.
     int pendingMovesTo(const std::string &pool) const;
-    // Number of the given hosts that are, or may be, in maintenance.
+    // Number of the given hosts that are, or may be, in maintenance, those in doubt among them.
     int countInMaintenance(const std::vector<std::string> &hosts) const;
+    int countInDoubt(const std::vector<std::string> &hosts) const;
 
     void move(const std::string &host, const std::string &pool, instant now);
     // Receives the result of a maintenance order. It is called with `done` also when the list shows the maintenance
@@ -131,6 +132,8 @@
     void resolveOrders(instant askedAt, instant now);
     // Gives up waiting for the answer to an order. A listed host may still be maintained for it.
     void giveUp(const std::string &host, const pending_order &order);
+    // Takes a maintenance order that had no effect off the record, so that no later owner has it in doubt.
+    void forgetRefused(const pending_order &order, const std::string &host);
     void onOrderResult(const order_id &id, const host_order_result &result, instant now);
     // Opens the workers that still work long after an order for their hosts, which had no effect then. Needs no list of hosts.
     void openAfterLostOrders(instant now);
--- a/packages/jobs/src/host_controller.cpp
+++ b/packages/jobs/src/host_controller.cpp
@@ -103,6 +103,13 @@
     }
 }
 
+void host_controller::forgetRefused(const pending_order &order, const std::string &host)
+{
+    if (order.isMaintenance() && m_maintenanceInDoubt.count(host) == 0) {
+        m_recordOrder({ host, std::nullopt }, [](instant) {});
+    }
+}
+
 const host_entry *host_controller::find(const std::string &host) const
 {
     const auto found = m_hosts.find(host);
@@ -147,13 +154,17 @@
 int host_controller::countInMaintenance(const std::vector<std::string> &hosts) const
 {
     return static_cast<int>(std::count_if(hosts.begin(), hosts.end(), [this](const std::string &name) {
-        const auto order = m_pendingOrders.find(name);
         const host_entry *host = find(name);
-        const bool ordered = order != m_pendingOrders.end() && order->second.isMaintenance();
-        return ordered || isMaintenanceInDoubt(name) || (host != nullptr && host->state == host_condition::maintenance);
+        return isMaintenancePending(name) || isMaintenanceInDoubt(name) || (host != nullptr && host->state == host_condition::maintenance);
     }));
 }
 
+int host_controller::countInDoubt(const std::vector<std::string> &hosts) const
+{
+    return static_cast<int>(
+        std::count_if(hosts.begin(), hosts.end(), [this](const std::string &name) { return isMaintenanceInDoubt(name); }));
+}
+
 void host_controller::openAfterLostOrders(instant now)
 {
     for (const auto &[host, order] : m_pendingOrders) {
@@ -275,6 +286,7 @@
         if (result.status == host_order_status::invalid && !found->second.toPool.empty()) {
             m_rejectedMoves.insert({ host, found->second.toPool });
         }
+        forgetRefused(found->second, host);
         setCordoned(found->second.worker, false);
         m_pendingOrders.erase(found);
     }
--- a/packages/jobs/src/host_maintenance_controller.cpp
+++ b/packages/jobs/src/host_maintenance_controller.cpp
@@ -227,11 +227,12 @@
     int inMaintenance = m_hosts.countInMaintenance(progress.wave.hosts);
     for (const host_entry *host : left.idle) {
         const worker *target = m_hosts.workerOn(*host);
-        // A host whose maintenance is in doubt counts already.
-        const int added = m_hosts.isMaintenanceInDoubt(host->name) ? 0 : 1;
-        if (inMaintenance + added <= progress.wave.maximum && (target == nullptr || leavesOneOpen(*host, *target, now))) {
+        // A host whose maintenance is in doubt counts already. It waits for those that are certain.
+        const bool counted = m_hosts.isMaintenanceInDoubt(host->name);
+        const int others = counted ? inMaintenance - m_hosts.countInDoubt(progress.wave.hosts) : inMaintenance;
+        if (others < progress.wave.maximum && (target == nullptr || leavesOneOpen(*host, *target, now))) {
             startMaintenance(progress, *host, now);
-            inMaintenance += added;
+            inMaintenance += counted ? 0 : 1;
         }
     }
     for (loaded_host &loaded : left.loaded) {
@@ -277,10 +278,9 @@
             continue;
         }
         m_cordons.hold(name, *loaded.target, progress.wave.number, now);
-        const int added = inDoubt ? 0 : 1;
-        hostsToDrain -= added;
-        if (!loaded.stranded.empty() && outOfService + added <= progress.wave.maximum && stopStranded(loaded, now, timeLeft)) {
-            outOfService += added;
+        hostsToDrain -= inDoubt ? 0 : 1;
+        if (!loaded.stranded.empty() && (inDoubt || outOfService < progress.wave.maximum) && stopStranded(loaded, now, timeLeft)) {
+            outOfService += inDoubt ? 0 : 1;
         }
     }
 }
--- a/packages/manager/test/maintenance_test.cpp
+++ b/packages/manager/test/maintenance_test.cpp
@@ -73,6 +73,8 @@
         placed_run &run = m_model.workers().find("w1")->runs.at(m_key);
         run.confirmed = true;
         run.progressPercent = 100;
+        m_hostController.setOrderRecorder(
+            [this](const host_order_record &, const std::function<void(instant now)> &recorded) { recorded(m_platform.now()); });
         m_hostController.refresh(m_platform.now());
         m_platform.advance(milliseconds(50));
         maintenanceController.setWave({ 1, { "host-w1" }, seconds(30), 1 }, WALL);
@@ -99,6 +101,12 @@
         }
         return m_log.events["wave-completed"] > 0;
     }
+    // Number of maintenance orders within the time.
+    int ordersWithin(milliseconds time)
+    {
+        completesWithin(time);
+        return m_log.events["upkeep-ordered"];
+    }
     instant now() const
     {
         return m_platform.now();
@@ -163,6 +171,18 @@
     cr_assert_lt(gateway.sent[1].responseAllowance.count(), 1000);
 }
 
+// Guards against a wave that stands still: more hosts may be in doubt after a take-over than may be maintained at once.
+Test(maintenance, hostsInDoubtBeyondTheMaximumAreMaintained)
+{
+    due_host_fixture fleet;
+    fleet.maintenanceController.setWave({ 1, { "host-w1", "host-w2" }, seconds(30), 1 }, WALL);
+    fleet.maintenanceController.restoreOrder("host-w1", 1);
+    fleet.maintenanceController.restoreOrder("host-w2", 1);
+    fleet.maintenanceController.onTakeOver(fleet.now());
+    const int orders = fleet.ordersWithin(seconds(2));
+    cr_assert_eq(orders, 1, "%d orders", orders);
+}
+
 Test(maintenance, evictsLongRunningTasksFromADueHost)
 {
     due_host_fixture fixture;
