--- a/review/standins-3/http_server.py
+++ b/review/standins-3/http_server.py
@@ -37,10 +37,12 @@
 class Server:
     """Serves one address. The handler gets a Request and returns (status, body); None closes the connection without an answer."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, max_connections=None):
         self.handler = handler
         self.server = None
         self.writers = set()
+        # Further connections wait, unserved, until one of these is closed.
+        self.slots = asyncio.Semaphore(max_connections) if max_connections else None
 
     async def listen(self, host, port=0):
         self.server = await asyncio.start_server(self._serve, host, port, limit=1 << 24)
@@ -53,6 +55,8 @@
             writer.transport.abort()
 
     async def _serve(self, reader, writer):
+        if self.slots is not None:
+            await self.slots.acquire()
         self.writers.add(writer)
         try:
             while True:
@@ -72,6 +76,8 @@
         finally:
             self.writers.discard(writer)
             writer.transport.abort()
+            if self.slots is not None:
+                self.slots.release()
 
 
 async def call(host, port, method, path, headers, body, timeout_s):
--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -289,12 +289,16 @@
                 break
         if not self.alive:
             return None
+        for run in self.runs.values():
+            self.platform.save(run)
         running = [[run.task, run.number, run.saved, self.platform.percent(run), 0] for run in self.runs.values()]
         return 200, self.answer(running=running, finished=self.ended[:MAX_ENDS])
 
     def end(self, run, how):
         if not self.alive or self.runs.get(run.task) is not run:
             return
+        if how == "stopped":
+            self.platform.save(run)
         del self.runs[run.task]
         if run.timer is not None:
             run.timer.cancel()
@@ -333,13 +337,18 @@
         # By job: the submitted body, for the sizes of tasks.
         self.jobs = {}
         self.workers_made = itertools.count(1)
+        self.checkpoints = itertools.count(1)
         # By step: how its runs end; see work_of().
         self.tickets = {}
         self.advice = None
         self.advice_queues = {}
+        # Connections that a worker serves at a time; None for any number.
+        self.max_connections = None
         # Whether the advice service skips waiting calls whose callers have closed the connection. The pages don't say.
         self.advice_drops_left_callers = False
         self.gangs = {}
+        # By task: the checkpoints that its runs, or those of its gang, have produced.
+        self.saved = {}
         self.cloud_fault = None
         self.cloud_port = self.store_port = self.advice_port = 0
 
@@ -357,6 +366,20 @@
         spec = json.loads(run.body["spec"] or "{}")
         return spec.get("ms", 500) / 1000, "failed" if run.number <= spec.get("fails", 0) else "done"
 
+    def save(self, run):
+        """A new checkpoint of a task that saves its progress; the same for all members of a gang."""
+        step = self.step_of(run.task)
+        if not step.get("saves_progress"):
+            return
+        if step.get("gang"):
+            value = f"{run.task.rsplit('.', 1)[0]}-{run.number}-{int((time.monotonic() - run.present) * 2)}"
+            tasks = [f"{run.task.rsplit('.', 1)[0]}.{index}" for index in range(step["count"])]
+        else:
+            value, tasks = f"{next(self.checkpoints):016x}", [run.task]
+        run.saved = value
+        for task in tasks:
+            self.saved.setdefault(task, set()).add(value)
+
     def percent(self, run):
         return 100
 
@@ -403,7 +426,7 @@
     async def start_worker(self, machine, keep_id=False):
         worker_id = machine.worker.id if keep_id and machine.worker else f"w-{next(self.workers_made)}"
         machine.worker = Worker(self, worker_id, machine)
-        machine.server = Server(machine.worker.handle)
+        machine.server = Server(machine.worker.handle, self.max_connections)
         machine.port = await machine.server.listen(self.host, machine.port)
         machine.state = "up"
         asyncio.get_running_loop().create_task(self._heartbeats(machine.worker))
