--- a/review/11/case.py
+++ b/review/11/case.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-3"))
-from fleet import BOUNDS, HOST_NAME, Fleet  # noqa: E402
+from fleet import BOUNDS, HOST_NAME, Fleet, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ADVICE = {"decision_ms": 150, "per_item_ms": 15, "validity_ms": 3000}
@@ -84,8 +84,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        sys.exit(asyncio.run(main()))
-    except (OSError, RuntimeError) as error:
-        print(f"the case could not run: {error}")
-        sys.exit(2)
+    run_case(main)
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 import http_server
 from platform_standin import Platform
@@ -23,6 +24,20 @@
           "maintenance_s": 2, "require_fencing": True, "lease_ms": 3000, "thaw_ms": 300, "pace_ms": 100, "interference_ms": 4000}
 
 
+def run_case(main):
+    """Runs the case and exits with its result; with 2 if it could not run to its end, also when it is terminated."""
+    async def until_terminated():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await main()
+
+    try:
+        result = asyncio.run(until_terminated())
+    except BaseException:  # pylint: disable=broad-except
+        traceback.print_exc()
+        result = 2
+    sys.exit(result)
+
+
 class Manager:
     """One process of the deploy file's role, on a loopback address of its own."""
 
