Pace the requests to the policy service, and give none up for being late

Cause: up to 8 requests were sent at a time to a service that handles one at a time, each with a time limit of 2 s from its sending. The limit measured the line, not the service: once 2 s of requests were in it, each was given up shortly before its answer and sent again behind itself, and the service went on with those that were given up. The state stayed after the burst. Naming 12 to 30 workers where two suffice made each request dearer, and the delay after a failure was kept for each step, so that hundreds of steps slowed nobody down. Ruled out: denials, a dead service, 429 (it comes long after the first time-out). A longer limit only moves the length of line at which it starts; a smaller number of requests at a time fails the same way with a slow service or with the line that a killed process leaves. Change: policy_request_pacer sends the next request when the service should be done with the earlier ones, by their cost and the speed seen. A late answer is used; a request counts as lost once a later one was answered; a silent service is probed, and refusals pause all requests. A request names the workers that are likely to suffice, those permitted before first. task-waiting says ticket-queued or ticket-late.

--- a/packages/jobs/include/jujubespool/jobs/gateways.h
+++ b/packages/jobs/include/jujubespool/jobs/gateways.h
@@ -344,7 +344,8 @@
 {
 public:
     virtual ~policy_gateway() = default;
-    virtual void requestTickets(const std::string &step, const std::vector<std::string> &workers,
+    // A response that has not come within the timeout is not used any more.
+    virtual void requestTickets(const std::string &step, const std::vector<std::string> &workers, milliseconds timeout,
                                 std::function<void(const ticket_response &, instant now)> done)
         = 0;
 };
--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -144,6 +144,8 @@
     void showEndOnceDurable(const job_id &id, instant now);
     void onEndDurable(const job_id &id, instant now);
     void requestTickets(const ticket_request &request, instant now);
+    void releaseLostTicketRequests(instant now);
+    void scheduleAgainAt(instant at, instant now);
     void logTicketResponse(const ticket_request &request, const ticket_response &response, duration waited);
     // Whether the step, in the form "job.occurrence.step", still has tasks that are not done.
     bool isStepUnfinished(const std::string &step) const;
@@ -177,6 +179,8 @@
     std::map<job_id, std::vector<state_callback>> m_waitingForEnd;
     // When a change called for scheduling first, since the last pass; empty if none has.
     std::optional<instant> m_scheduleNeededSince;
+    // When scheduling is repeated without a change; empty if no timer runs for it.
+    std::optional<instant> m_scheduleAgainAt;
     bool m_resigned = false;
     bool m_ownershipLost = false;
     // The memory of the image that was written last, for the next one.
--- a/packages/jobs/include/jujubespool/jobs/run_scheduler.h
+++ b/packages/jobs/include/jujubespool/jobs/run_scheduler.h
@@ -28,6 +28,10 @@
     std::vector<placement> placements;
     // Steps that need tickets of the policy service before they can be placed, with the workers to request tickets for.
     std::vector<ticket_request> ticketRequests;
+    // Number of steps that could use further tickets, those of ticketRequests among them.
+    std::size_t stepsWithoutTicket = 0;
+    // With such steps: when a pass may send further requests although no response has come.
+    std::optional<instant> nextTicketRequestAt;
 };
 
 // Position of a job in the scheduling order of its pool. The job with the smaller rank is placed first.
--- a/packages/jobs/include/jujubespool/jobs/wait_reason.h
+++ b/packages/jobs/include/jujubespool/jobs/wait_reason.h
@@ -40,7 +40,11 @@
     max_per_worker,
     no_free_capacity,
     ticket_not_requested,
+    // The policy service is busy with the requests for other steps.
+    ticket_queued,
     ticket_pending,
+    // The responses of the policy service are overdue, or it takes no requests.
+    ticket_late,
     ticket_denied,
     gang_does_not_fit,
     // Nothing prevents the start: the next scheduling pass should place the task.
@@ -58,34 +62,14 @@
 
 template <> struct enum_names<wait_reason>
 {
-    static constexpr std::array<std::string_view, 28> NAMES{ "queue-unknown",
-                                                             "dependency-not-done",
-                                                             "store-does-not-answer",
-                                                             "ownership-not-confirmed",
-                                                             "gang-incomplete",
-                                                             "no-worker-in-pool",
-                                                             "required-label",
-                                                             "task-too-large",
-                                                             "workers-not-listed",
-                                                             "workers-not-polled",
-                                                             "workers-evacuated",
-                                                             "workers-cordoned",
-                                                             "workers-silent",
-                                                             "workers-failing-runs",
-                                                             "workers-avoided",
-                                                             "team-limit",
-                                                             "max-per-worker",
-                                                             "no-free-capacity",
-                                                             "ticket-not-requested",
-                                                             "ticket-pending",
-                                                             "ticket-denied",
-                                                             "gang-does-not-fit",
-                                                             "could-run",
-                                                             "start-not-answered",
-                                                             "start-in-doubt",
-                                                             "being-stopped",
-                                                             "worker-unresponsive",
-                                                             "placement-missing" };
+    static constexpr std::array<std::string_view, 30> NAMES{
+        "queue-unknown",      "dependency-not-done", "store-does-not-answer", "ownership-not-confirmed", "gang-incomplete",
+        "no-worker-in-pool",  "required-label",      "task-too-large",        "workers-not-listed",      "workers-not-polled",
+        "workers-evacuated",  "workers-cordoned",    "workers-silent",        "workers-failing-runs",    "workers-avoided",
+        "team-limit",         "max-per-worker",      "no-free-capacity",      "ticket-not-requested",    "ticket-queued",
+        "ticket-pending",     "ticket-late",         "ticket-denied",         "gang-does-not-fit",       "could-run",
+        "start-not-answered", "start-in-doubt",      "being-stopped",         "worker-unresponsive",     "placement-missing"
+    };
 };
 
 // The state of the owner that the model does not hold.
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -18,6 +18,10 @@
 // that lose their host could not be started elsewhere.
 constexpr milliseconds STORE_SILENT_BEFORE_HOSTS_STAY{ 700 };
 
+// The policy service handles up to 32 waiting requests before one that it accepts. Its answer is used whenever it comes, and this bounds
+// what a service that never answers makes a process hold.
+constexpr milliseconds MAX_TICKET_RESPONSE_TIME{ 120000 };
+
 // A record contains the key of the job beside its image.
 constexpr std::size_t MAX_KEY_BYTES = 64;
 
@@ -441,10 +445,14 @@
     if (!m_model.configured()) {
         return;
     }
+    releaseLostTicketRequests(now);
     schedule_result result = m_scheduler.decide(m_model, m_tickets, now, m_wall);
     for (const ticket_request &request : result.ticketRequests) {
         requestTickets(request, now);
     }
+    if (result.nextTicketRequestAt) {
+        scheduleAgainAt(*result.nextTicketRequestAt, now);
+    }
     if (result.placements.empty()) {
         return;
     }
@@ -598,16 +606,43 @@
     m_log.write("ticket-request",
                 { { "step", request.step },
                   { "workers", std::to_string(request.workers.size()) },
-                  { "in_flight", std::to_string(m_tickets.requestsInFlight()) } });
-    m_tickets.recordRequest(request, m_model.workers());
-    m_gateways.policy.requestTickets(request.step, request.workers,
-                                     m_lifetime.guard([this, request, sentAt = now](const ticket_response &result, instant then) {
+                  { "cost_ms", std::to_string(request.cost.count()) },
+                  { "backlog_ms", std::to_string(duration_cast<milliseconds>(m_tickets.pacer().expectedBacklog(now)).count()) },
+                  { "in_flight", std::to_string(m_tickets.requestsInFlight()) },
+                  { "stalled", m_tickets.pacer().isStalled(now) ? "yes" : "no" } });
+    const std::uint64_t number = m_tickets.recordRequest(request, m_model.workers(), now);
+    m_gateways.policy.requestTickets(request.step, request.workers, MAX_TICKET_RESPONSE_TIME,
+                                     m_lifetime.guard([this, number, request, sentAt = now](const ticket_response &result, instant then) {
                                          logTicketResponse(request, result, then - sentAt);
-                                         const milliseconds retryDelay = m_tickets.recordResponse(request, result, then);
-                                         m_timers.after(retryDelay, m_lifetime.guard([this](instant again) { onProgress(again); }));
+                                         m_tickets.recordResponse(number, result, then);
+                                         onProgress(then);
                                      }));
 }
 
+void job_manager::releaseLostTicketRequests(instant now)
+{
+    for (const std::string &step : m_tickets.releaseLostRequests(now)) {
+        m_log.write("ticket-request-lost", { { "step", step }, { "in_flight", std::to_string(m_tickets.requestsInFlight()) } });
+        m_log.count("ticket_responses_total", "lost");
+    }
+}
+
+// Scheduling is repeated when the next request for tickets may be sent, as nothing else may happen until then.
+void job_manager::scheduleAgainAt(instant at, instant now)
+{
+    if (m_scheduleAgainAt && *m_scheduleAgainAt <= at) {
+        return;
+    }
+    m_scheduleAgainAt = at;
+    const milliseconds delay = std::max(std::chrono::ceil<milliseconds>(at - now), milliseconds(1));
+    m_timers.after(delay, m_lifetime.guard([this, at](instant then) {
+        if (m_scheduleAgainAt == at) {
+            m_scheduleAgainAt.reset();
+        }
+        onProgress(then);
+    }));
+}
+
 void job_manager::onBadTicket(const task_key &key, const std::string &workerId)
 {
     m_tickets.invalidateTicket(key.stepText(), workerId);
--- a/packages/jobs/src/policy_ticket_cache.cpp
+++ b/packages/jobs/src/policy_ticket_cache.cpp
@@ -9,9 +9,10 @@
 // A ticket must still be valid when the start order arrives at the worker, and before that the start is recorded.
 constexpr milliseconds MIN_TIME_TO_ARRIVE{ 20 };
 constexpr milliseconds MIN_REMAINING_VALIDITY{ 150 };
-// Times between requests for a step to which the policy service gives no usable answer.
+// Time until a step is requested again to which the policy service gives no usable answer. It doubles up to MAX_PROBE_INTERVAL.
 constexpr milliseconds MIN_RETRY_DELAY{ 100 };
-constexpr milliseconds MAX_RETRY_DELAY{ 1600 };
+// The grant ratio of a queue is that of about this many workers that were asked last.
+constexpr double REMEMBERED_WORKERS = 400;
 
 } // namespace
 
@@ -51,41 +52,95 @@
 bool policy_ticket_cache::mayRequest(const std::string &step, instant now) const
 {
     const auto entry = m_steps.find(step);
-    return !isRequestPending(step) && (entry == m_steps.end() || now >= entry->second.retryAt);
+    return entry == m_steps.end() || now >= entry->second.retryAt;
 }
 
-void policy_ticket_cache::recordRequest(const ticket_request &request, const worker_registry &workers)
+double policy_ticket_cache::grantRatio(const std::string &queue) const
 {
-    incarnations &asked = m_pendingRequests[request.step];
+    const auto known = m_grants.find(queue);
+    const grant_counts counts = known == m_grants.end() ? grant_counts() : known->second;
+    // The mean of what is known and of one worker that was permitted and one that was not.
+    return (counts.granted + 1) / (counts.asked + 2);
+}
+
+std::uint64_t policy_ticket_cache::recordRequest(const ticket_request &request, const worker_registry &workers, instant now)
+{
+    if (isRequestPending(request.step)) {
+        m_pacer.onRepeated(now);
+    }
+    const std::uint64_t number = m_pacer.onSent(request.cost, now);
+    pending_request &pending = m_pendingRequests[number];
+    pending.request = request;
+    m_pendingSteps[request.step] = number;
     for (const std::string &id : request.workers) {
         const auto target = workers.all().find(id);
         if (target != workers.all().end()) {
-            asked[id] = target->second.report.startTimeMs;
+            pending.asked[id] = target->second.report.startTimeMs;
         }
     }
+    return number;
 }
 
-milliseconds policy_ticket_cache::recordResponse(const ticket_request &request, const ticket_response &response, instant now)
+void policy_ticket_cache::recordResponse(std::uint64_t number, const ticket_response &response, instant now)
 {
-    const auto pending = m_pendingRequests.extract(request.step);
-    step_tickets &cached = m_steps[request.step];
-    if (!response.tickets) {
-        cached.retryDelay = std::clamp(cached.retryDelay * 2, MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+    const auto pending = m_pendingRequests.extract(number);
+    if (pending.empty()) {
+        return;
+    }
+    const ticket_request &request = pending.mapped().request;
+    m_pacer.onResponse(number, response.tickets ? ticket_outcome::answered : response.outcome, now);
+    release(number, request.step);
+    if (response.tickets) {
+        recordAnswer(pending.mapped(), response, now);
+    } else if (response.outcome == ticket_outcome::unusable) {
+        step_tickets &cached = m_steps[request.step];
+        cached.retryDelay = std::clamp(cached.retryDelay * 2, MIN_RETRY_DELAY, MAX_PROBE_INTERVAL);
         cached.retryAt = now + cached.retryDelay;
-        return cached.retryDelay;
     }
+}
+
+void policy_ticket_cache::recordAnswer(const pending_request &answered, const ticket_response &response, instant now)
+{
+    const ticket_request &request = answered.request;
+    step_tickets &cached = m_steps[request.step];
     cached.retryDelay = milliseconds(0);
+    grant_counts &counts = m_grants[request.queue];
+    if (counts.asked > REMEMBERED_WORKERS) {
+        counts.asked /= 2;
+        counts.granted /= 2;
+    }
     const milliseconds validity = response.validity.count() > 0 ? response.validity : request.validity;
-    const incarnations asked = pending.empty() ? incarnations() : pending.mapped();
-    for (const auto &[id, startTimeMs] : asked) {
+    for (const auto &[id, startTimeMs] : answered.asked) {
         const auto granted = response.tickets->find(id);
+        counts.asked += 1;
         if (granted == response.tickets->end()) {
             cached.deniedWorkers[id] = startTimeMs;
         } else {
+            counts.granted += 1;
             cached.tickets[id] = { granted->second, startTimeMs, now + validity };
         }
     }
-    return milliseconds(0);
+}
+
+void policy_ticket_cache::release(std::uint64_t number, const std::string &step)
+{
+    const auto latest = m_pendingSteps.find(step);
+    if (latest != m_pendingSteps.end() && latest->second == number) {
+        m_pendingSteps.erase(latest);
+    }
+}
+
+std::vector<std::string> policy_ticket_cache::releaseLostRequests(instant now)
+{
+    std::vector<std::string> steps;
+    for (const std::uint64_t number : m_pacer.takeLost(now)) {
+        const auto lost = m_pendingRequests.find(number);
+        if (lost != m_pendingRequests.end()) {
+            steps.push_back(lost->second.request.step);
+            release(number, lost->second.request.step);
+        }
+    }
+    return steps;
 }
 
 void policy_ticket_cache::prune(const std::function<bool(const std::string &step)> &isNeeded, const worker_registry &workers)
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -1,6 +1,7 @@
 #include <jujubespool/jobs/run_scheduler.h>
 
 #include <algorithm>
+#include <cmath>
 #include <jujubespool/jobs/free_capacity_index.h>
 #include <jujubespool/jobs/gang_placement.h>
 #include <jujubespool/jobs/team_shares.h>
@@ -15,8 +16,34 @@
 // named only if tasks that have to start together need more workers.
 constexpr std::size_t USUAL_WORKERS_PER_REQUEST = 30;
 constexpr std::size_t MAX_WORKERS_PER_REQUEST = 100;
-// Maximum number of requests to the policy service that may be pending at the same time.
-constexpr std::size_t MAX_PENDING_REQUESTS = 8;
+// Workers are named in addition as long as they cost this part of what each request costs.
+constexpr int PART_OF_DECISION_FOR_SPARE_WORKERS = 4;
+// So many standard deviations below the mean, the workers that the policy service is expected to permit still suffice.
+constexpr double GRANT_MARGIN = 1.5;
+
+// Adds up the tasks for which workers are expected to get tickets.
+class expected_grants
+{
+public:
+    void add(double permittedShare, std::int64_t tasks)
+    {
+        m_mean += permittedShare * static_cast<double>(tasks);
+        m_variance += permittedShare * (1 - permittedShare) * static_cast<double>(tasks * tasks);
+    }
+    bool suffice(std::int64_t tasks) const
+    {
+        return m_mean - GRANT_MARGIN * std::sqrt(m_variance) >= static_cast<double>(tasks);
+    }
+
+private:
+    double m_mean = 0;
+    double m_variance = 0;
+};
+
+milliseconds costOf(const policy_config &policy, std::size_t workers)
+{
+    return policy.decision + policy.perWorker * static_cast<std::int64_t>(workers);
+}
 
 // Places the waiting tasks of the jobs that are passed to schedule(), in that order.
 class scheduling_pass
@@ -25,6 +52,7 @@
     scheduling_pass(fleet_model &model, const policy_ticket_cache &tickets, instant now, schedule_result &result)
         : m_model(model)
         , m_tickets(tickets)
+        , m_pacer(tickets.pacer())
         , m_now(now)
         , m_result(result)
     {
@@ -44,8 +72,12 @@
     // Must be called after the last call of schedule().
     void finish()
     {
-        if (m_laterRequest && m_result.ticketRequests.empty()) {
-            m_result.ticketRequests.push_back(std::move(*m_laterRequest));
+        std::optional<ticket_request> &spare = m_repeatedRequest ? m_repeatedRequest : m_laterRequest;
+        if (spare && m_result.ticketRequests.empty()) {
+            send(std::move(*spare));
+        }
+        if (m_result.stepsWithoutTicket > 0) {
+            m_result.nextTicketRequestAt = m_pacer.nextChange(m_now);
         }
     }
 
@@ -154,35 +186,55 @@
         }
     }
 
+    void send(ticket_request request)
+    {
+        m_pacer.onSent(request.cost, m_now);
+        m_result.ticketRequests.push_back(std::move(request));
+    }
+
     // Requests tickets for tasks that could not be placed with the tickets that are present. Workers that could run them now are asked
-    // first. If there are none and the policy service has nothing else to do, workers are asked that could run them later.
+    // first. If there are none and the policy service has nothing else to do, workers are asked that could run them later. If a response
+    // is overdue and no other step needs one, the request is repeated, as it may be lost.
     void requestTicketsFor(const job &current, const queue_config &queue, const std::vector<task_key> &waiting)
     {
         const step_spec &step = current.step(waiting.front().step);
         const std::string text = waiting.front().stepText();
         const std::size_t tasksAtOnce = step.gang ? static_cast<std::size_t>(step.count) : 1;
-        if (waiting.size() < tasksAtOnce || !teamMayRun(current, step, static_cast<int>(tasksAtOnce)) || !m_tickets.mayRequest(text, m_now)
-            || m_tickets.requestsInFlight() + m_result.ticketRequests.size() >= MAX_PENDING_REQUESTS) {
+        if (waiting.size() < tasksAtOnce || !teamMayRun(current, step, static_cast<int>(tasksAtOnce))
+            || !m_tickets.mayRequest(text, m_now)) {
+            return;
+        }
+        ++m_result.stepsWithoutTicket;
+        const bool pending = m_tickets.isRequestPending(text);
+        if (!m_pacer.maySend(m_now) || (pending && (m_repeatedRequest || !m_pacer.mayRepeat(m_now)))) {
             return;
         }
-        ticket_request tickets{ text, workersToAsk(current, queue, waiting.front(), tasksAtOnce), queue.policy->validity };
+        ticket_request tickets{ text, workersToAsk(current, queue, waiting, tasksAtOnce), queue.policy->validity, queue.name };
         if (!tickets.workers.empty()) {
-            m_result.ticketRequests.push_back(std::move(tickets));
-        } else if (m_tickets.requestsInFlight() == 0 && !m_laterRequest) {
+            tickets.cost = costOf(*queue.policy, tickets.workers.size());
+            if (pending) {
+                m_repeatedRequest = std::move(tickets);
+            } else {
+                send(std::move(tickets));
+            }
+        } else if (m_tickets.pacer().isIdle() && !pending && !m_laterRequest) {
             tickets.workers = workersToAskForLater(queue, text, step);
+            tickets.cost = costOf(*queue.policy, tickets.workers.size());
             m_laterRequest = tickets.workers.empty() ? std::nullopt : std::optional(std::move(tickets));
         }
     }
 
-    // Workers without an answer of the policy service that could run a task of the step now, the preferred ones first. Empty if the tasks
-    // that have to start together would not fit even with a ticket for each of them.
-    std::vector<std::string> workersToAsk(const job &current, const queue_config &queue, const task_key &key, std::size_t tasksAtOnce)
+    // Workers without a valid ticket that could run tasks of the step now: those that the policy service has permitted before, then the
+    // preferred ones. Not more than are likely to suffice, as the service takes time for each. Empty if the tasks that have to start
+    // together would not fit even with a ticket for each worker.
+    std::vector<std::string> workersToAsk(const job &current, const queue_config &queue, const std::vector<task_key> &waiting,
+                                          std::size_t tasksAtOnce)
     {
-        const std::string text = key.stepText();
+        const std::string text = waiting.front().stepText();
         const pool_workers &pool = poolNamed(queue.pool);
-        placement_request request = requestFor(current, queue, key);
+        placement_request request = requestFor(current, queue, waiting.front());
         request.isPermitted = nullptr;
-        request.preferredDataCenter = pool.preferredDataCenterOf(key.job);
+        request.preferredDataCenter = pool.preferredDataCenterOf(waiting.front().job);
         std::vector<worker *> unasked;
         std::int64_t slotsWithTicket = 0;
         std::int64_t slotsUnasked = 0;
@@ -195,22 +247,45 @@
                 unasked.push_back(target);
             }
         }
-        const auto needed = static_cast<std::int64_t>(tasksAtOnce);
-        if (slotsWithTicket + slotsUnasked < needed) {
+        if (slotsWithTicket + slotsUnasked < static_cast<std::int64_t>(tasksAtOnce)) {
             return {};
         }
         if (request.step->sameRack) {
             putLargestRackFirst(unasked, request);
         }
+        std::stable_partition(unasked.begin(), unasked.end(), [&](const worker *target) { return m_tickets.wasGranted(text, *target); });
+        return likelyToSuffice(unasked, queue, request, { static_cast<std::int64_t>(waiting.size()), slotsWithTicket, tasksAtOnce });
+    }
+
+    struct wanted_tickets
+    {
+        std::int64_t tasks = 0;
+        std::int64_t slotsWithTicket = 0;
+        std::size_t tasksAtOnce = 1;
+    };
+
+    // The first of the workers, as many as are likely to get tickets for all tasks.
+    std::vector<std::string> likelyToSuffice(const std::vector<worker *> &unasked, const queue_config &queue,
+                                             const placement_request &request, const wanted_tickets &wanted) const
+    {
+        const std::string text = request.task.stepText();
+        const double grantRatio = m_tickets.grantRatio(queue.name);
+        const milliseconds spareCost = queue.policy->decision / PART_OF_DECISION_FOR_SPARE_WORKERS;
         std::vector<std::string> workers;
-        std::int64_t slots = slotsWithTicket;
+        expected_grants grants;
+        grants.add(1, wanted.slotsWithTicket);
+        std::int64_t slots = wanted.slotsWithTicket;
         for (const worker *target : unasked) {
-            const std::size_t limit = slots < needed ? MAX_WORKERS_PER_REQUEST : USUAL_WORKERS_PER_REQUEST;
-            if (workers.size() >= limit) {
+            const std::size_t limit
+                = slots < static_cast<std::int64_t>(wanted.tasksAtOnce) ? MAX_WORKERS_PER_REQUEST : USUAL_WORKERS_PER_REQUEST;
+            const bool costsLittle = queue.policy->perWorker * static_cast<std::int64_t>(workers.size() + 1) <= spareCost;
+            if (workers.size() >= limit || (!costsLittle && grants.suffice(wanted.tasks))) {
                 break;
             }
             workers.push_back(target->report.id);
-            slots += countFreeSlots(*target, request);
+            const std::int64_t free = countFreeSlots(*target, request);
+            slots += free;
+            grants.add(m_tickets.wasGranted(text, *target) ? 1 : grantRatio, free);
         }
         return workers;
     }
@@ -337,10 +412,14 @@
 
     fleet_model &m_model;
     const policy_ticket_cache &m_tickets;
+    // As it will be once the requests of this pass are sent.
+    policy_request_pacer m_pacer;
     instant m_now;
     schedule_result &m_result;
     // A request for tickets that nothing could be placed with yet.
     std::optional<ticket_request> m_laterRequest;
+    // A request whose response is overdue, once more.
+    std::optional<ticket_request> m_repeatedRequest;
     std::unordered_map<std::string, pool_workers> m_pools;
 };
 
--- a/packages/jobs/src/wait_reason.cpp
+++ b/packages/jobs/src/wait_reason.cpp
@@ -175,7 +175,14 @@
         if (allDenied) {
             return wait_reason::ticket_denied;
         }
-        return m_tickets.isRequestPending(step) ? wait_reason::ticket_pending : wait_reason::ticket_not_requested;
+        const policy_request_pacer &pacer = m_tickets.pacer();
+        if (pacer.isStalled(m_now) || pacer.isPaused(m_now)) {
+            return wait_reason::ticket_late;
+        }
+        if (m_tickets.isRequestPending(step)) {
+            return wait_reason::ticket_pending;
+        }
+        return pacer.maySend(m_now) ? wait_reason::ticket_not_requested : wait_reason::ticket_queued;
     }
 
     // The tasks of a gang are alike, so the numbers that the eligible workers can take add up.
--- a/packages/jobs/test/policy_ticket_test.cpp
+++ b/packages/jobs/test/policy_ticket_test.cpp
@@ -73,12 +73,13 @@
 
     std::vector<ticket_request> pass()
     {
+        tickets.releaseLostRequests(now);
         const schedule_result result = scheduler.decide(model, tickets, now, WALL);
         for (const placement &placed : result.placements) {
             placements.push_back(placed);
         }
         for (const ticket_request &request : result.ticketRequests) {
-            tickets.recordRequest(request, model.workers());
+            numbers[request.step] = tickets.recordRequest(request, model.workers(), now);
             ++requests;
             for (const std::string &id : request.workers) {
                 ++timesAsked[id];
@@ -97,7 +98,12 @@
                 response.tickets->emplace(id, "ticket of " + id);
             }
         }
-        tickets.recordResponse(request, response, now);
+        respond(request, response);
+    }
+
+    void respond(const ticket_request &request, const ticket_response &response)
+    {
+        tickets.recordResponse(numbers.at(request.step), response, now);
     }
 
     // Passes and answers, as many as any of the tests should need and some more.
@@ -119,6 +125,8 @@
     instant now{ seconds(100) };
     int jobs = 0;
     int requests = 0;
+    // By step: the number of its last request.
+    std::map<std::string, std::uint64_t> numbers;
     // The workers to which the policy gives tickets; all if empty.
     std::set<std::string> allowed;
     std::map<std::string, int> timesAsked;
@@ -159,7 +167,7 @@
     fixture.answer(sent[0]);
     fixture.pass();
     cr_assert_eq(fixture.placements.size(), 0U, "placed with the ticket of the former incarnation");
-    fixture.tickets.recordResponse(sent[0], {}, fixture.now);
+    fixture.respond(sent[0], {});
     fixture.now += seconds(2);
     fixture.settle();
     cr_assert_eq(fixture.placements.size(), 1U);
@@ -184,7 +192,7 @@
     constexpr int PASSES = 1000;
     for (int i = 0; i < PASSES; ++i) {
         for (const ticket_request &request : fixture.pass()) {
-            fixture.tickets.recordResponse(request, {}, fixture.now);
+            fixture.respond(request, {});
         }
         fixture.now += milliseconds(10);
     }
@@ -202,7 +210,7 @@
     const std::vector<ticket_request> sent = fixture.pass();
     ticket_response response;
     response.tickets.emplace()["w000"] = "ticket";
-    fixture.tickets.recordResponse(sent.at(0), response, fixture.now);
+    fixture.respond(sent.at(0), response);
     fixture.now += VALIDITY - milliseconds(300);
     cr_assert_not_null(fixture.tickets.ticketFor(sent[0].step, *fixture.model.workers().find("w000"), fixture.now));
     fixture.now += milliseconds(300);
@@ -338,3 +346,73 @@
     fixture.settle();
     cr_assert_eq(fixture.placements.size(), 1U);
 }
+
+Test(policy_tickets, answerThatComesAfterItsRequestCountsAsLostIsUsed)
+{
+    policy_fixture fixture(1);
+    fixture.config.queues[0].policy = policy_config{ milliseconds(100), milliseconds(0), VALIDITY };
+    fixture.model.setConfig(std::make_shared<fleet_config>(fixture.config));
+    fixture.submit(stepOf(1));
+    fixture.submit(stepOf(1));
+    const std::vector<ticket_request> sent = fixture.pass();
+    cr_assert_eq(sent.size(), 2U, "%zu requests", sent.size());
+    const ticket_request &first = sent[0];
+    fixture.now += milliseconds(200);
+    fixture.answer(sent[1]);
+    fixture.now += seconds(1);
+    fixture.tickets.releaseLostRequests(fixture.now);
+    cr_assert_not(fixture.tickets.isRequestPending(first.step), "the first request has been overtaken");
+    fixture.answer(first);
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 2U, "%zu of 2 tasks placed", fixture.placements.size());
+    cr_assert_eq(fixture.requests, 2, "%d requests", fixture.requests);
+}
+
+Test(policy_tickets, refusalPausesTheRequestsOfAllSteps)
+{
+    policy_fixture fixture(2);
+    constexpr int STEPS = 50;
+    for (int i = 0; i < STEPS; ++i) {
+        fixture.submit(stepOf(1));
+    }
+    ticket_response refusal;
+    refusal.outcome = ticket_outcome::refused;
+    constexpr int PASSES = 1000;
+    for (int i = 0; i < PASSES; ++i) {
+        for (const ticket_request &request : fixture.pass()) {
+            fixture.respond(request, refusal);
+        }
+        fixture.now += milliseconds(10);
+    }
+    // The first pass sends what the service could handle within the time ahead, 5 requests. Then there are 4 within 1.5 s and 6 later.
+    cr_assert_leq(fixture.requests, 15, "%d requests in 10 s", fixture.requests);
+    fixture.now += seconds(2);
+    fixture.settle();
+    cr_assert_geq(fixture.placements.size(), 2U);
+}
+
+Test(policy_tickets, workersThatWerePermittedAreTheFirstToBeAskedAgain)
+{
+    policy_fixture fixture(40);
+    fixture.allowed = { "w020", "w021" };
+    fixture.config.queues[0].policy = policy_config{ milliseconds(100), milliseconds(10), VALIDITY };
+    fixture.model.setConfig(std::make_shared<fleet_config>(fixture.config));
+    fixture.submit(stepOf(1));
+    // The task starts on a permitted worker and has to start once more after the ticket has run out.
+    std::vector<std::string> asked;
+    while (fixture.placements.empty()) {
+        for (const ticket_request &request : fixture.pass()) {
+            asked = request.workers;
+            fixture.answer(request);
+        }
+        fixture.now += seconds(1);
+    }
+    cr_assert(std::find(asked.begin(), asked.end(), "w020") != asked.end());
+    const task_key placed = fixture.placements[0].task;
+    fixture.model.release(placed);
+    fixture.now += VALIDITY;
+    const std::vector<ticket_request> again = fixture.pass();
+    cr_assert_eq(again.size(), 1U, "%zu", again.size());
+    cr_assert_eq(fixture.allowed.count(again[0].workers[0]), 1U, "%s is asked first", again[0].workers[0].c_str());
+    cr_assert_leq(again[0].workers.size(), 2U, "%zu workers are asked", again[0].workers.size());
+}
--- a/packages/jobs/test/simulated_fleet.cpp
+++ b/packages/jobs/test/simulated_fleet.cpp
@@ -201,7 +201,7 @@
     onBoundary(true);
 }
 
-void simulated_platform::requestTickets(const std::string &, const std::vector<std::string> &,
+void simulated_platform::requestTickets(const std::string &, const std::vector<std::string> &, milliseconds,
                                         std::function<void(const ticket_response &, instant now)>)
 {
 }
--- a/packages/jobs/test/simulated_fleet.h
+++ b/packages/jobs/test/simulated_fleet.h
@@ -42,7 +42,7 @@
     void list(std::function<void(const host_list &, instant now)> done) override;
     void move(const host_order &order, const std::string &pool, host_gateway::order_callback done) override;
     void startMaintenance(const host_order &order, std::uint64_t wave, host_gateway::order_callback done) override;
-    void requestTickets(const std::string &step, const std::vector<std::string> &workers,
+    void requestTickets(const std::string &step, const std::vector<std::string> &workers, milliseconds timeout,
                         std::function<void(const ticket_response &, instant now)> done) override;
     void publishWaveStatus(std::uint64_t wave, bool completed, std::function<void(bool written, instant now)> done) override;
 
--- a/packages/jobs/test/wait_reason_test.cpp
+++ b/packages/jobs/test/wait_reason_test.cpp
@@ -54,8 +54,7 @@
     // Lets the policy service decide on the tasks of the queue.
     void answerTickets(const ticket_request &request, const ticket_response &response)
     {
-        tickets.recordRequest(request, model.workers());
-        tickets.recordResponse(request, response, NOW);
+        tickets.recordResponse(tickets.recordRequest(request, model.workers(), NOW), response, NOW);
     }
 
     void requireTickets()
@@ -268,7 +267,31 @@
       [](small_fleet &fleet) {
           fleet.requireTickets();
           fleet.submit({ stepOf(1) });
-          fleet.tickets.recordRequest({ FIRST_TASK.stepText(), { "w1", "w2" }, seconds(10) }, fleet.model.workers());
+          fleet.tickets.recordRequest({ FIRST_TASK.stepText(), { "w1", "w2" }, seconds(10) }, fleet.model.workers(), NOW);
+      } },
+    // A request for another step is pending, and the service needs time for it.
+    { wait_reason::ticket_queued,
+      [](small_fleet &fleet) {
+          fleet.requireTickets();
+          fleet.submit({ stepOf(1) });
+          ticket_request other{ task_key{ OTHER_JOB, 0, 0, 0 }.stepText(), { "w1", "w2" }, seconds(10) };
+          other.cost = seconds(1);
+          fleet.tickets.recordRequest(other, fleet.model.workers(), NOW);
+      } },
+    { wait_reason::ticket_late,
+      [](small_fleet &fleet) {
+          fleet.requireTickets();
+          fleet.submit({ stepOf(1) });
+          fleet.tickets.recordRequest({ FIRST_TASK.stepText(), { "w1", "w2" }, seconds(10) }, fleet.model.workers(), NOW - seconds(2));
+      } },
+    // The service has refused the last request.
+    { wait_reason::ticket_late,
+      [](small_fleet &fleet) {
+          fleet.requireTickets();
+          fleet.submit({ stepOf(1) });
+          ticket_response refusal;
+          refusal.outcome = ticket_outcome::refused;
+          fleet.answerTickets({ FIRST_TASK.stepText(), { "w1", "w2" }, seconds(10) }, refusal);
       } },
     { wait_reason::ticket_denied,
       [](small_fleet &fleet) {
--- a/packages/manager/test/fake_platform.cpp
+++ b/packages/manager/test/fake_platform.cpp
@@ -277,7 +277,7 @@
         const host_order_status status = effective ? platform.maintainHost(order.host, wave) : host_order_status::done;
         answer(LATENCY, host_order_result{ status, {} }, done);
     }
-    void requestTickets(const std::string &step, const std::vector<std::string> &workers,
+    void requestTickets(const std::string &step, const std::vector<std::string> &workers, milliseconds,
                         std::function<void(const ticket_response &, instant now)> done) override
     {
         answer(LATENCY, platform.policyAllows ? platform.ticketsFor(step, workers) : platform.policyAnswer(workers), done);
