Refuse a job at once whose first ticket is too far away

Cause: nothing compared the work that waits for tickets with the rate of the service; all refusals said Retry-After 1. Change: ticket_admission compares the steps that wait for a request, times the mean cost, with 10 s, if there is room for the first of them. A new job beyond is answered with 503 and a Retry-After of its own, one service time apart.

--- a/packages/jobs/include/jujubespool/jobs/job_manager.h
+++ b/packages/jobs/include/jujubespool/jobs/job_manager.h
@@ -13,6 +13,7 @@
 #include <jujubespool/jobs/ledger_writer.h>
 #include <jujubespool/jobs/pool_rebalancer.h>
 #include <jujubespool/jobs/run_supervisor.h>
+#include <jujubespool/jobs/ticket_admission.h>
 #include <jujubespool/jobs/wait_reporter.h>
 
 namespace jujubespool {
@@ -59,6 +60,8 @@
 
     // Calls back once the job is durable. A job whose id exists already is accepted again without an effect.
     void submit(const job_request &request, const std::function<void(submit_result result)> &done, instant now, wall_ms wall);
+    // Empty if a new job with this request can start in time. Otherwise the time after which its caller should try again.
+    std::optional<seconds> timeUntilAdmitted(const job_request &request, instant now);
     // Calls back once the cancellation is durable, then stops the job's runs.
     void cancel(const job_id &id, const std::function<void(cancel_result result)> &done, instant now, wall_ms wall);
     // Receives the state of a job, or no value for an unknown job.
@@ -171,6 +174,7 @@
     run_supervisor m_runs;
     run_scheduler m_scheduler;
     policy_ticket_cache m_tickets;
+    ticket_admission m_ticketAdmission;
     host_controller m_hostController;
     host_maintenance_controller m_hostMaintenance;
     pool_rebalancer m_poolRebalancer;
--- a/packages/jobs/include/jujubespool/jobs/run_scheduler.h
+++ b/packages/jobs/include/jujubespool/jobs/run_scheduler.h
@@ -28,9 +28,9 @@
     std::vector<placement> placements;
     // Steps that need tickets of the policy service before they can be placed, with the workers to request tickets for.
     std::vector<ticket_request> ticketRequests;
-    // Number of steps that could use further tickets, those of ticketRequests among them.
-    std::size_t stepsWithoutTicket = 0;
-    // With such steps: when a pass may send further requests although no response has come.
+    // Number of steps that wait until a request to the policy service may be sent for them, in pools that have room for the first of them.
+    std::size_t stepsToRequest = 0;
+    // If steps wait for tickets: when a pass may send further requests although no response has come.
     std::optional<instant> nextTicketRequestAt;
 };
 
--- a/packages/jobs/src/job_manager.cpp
+++ b/packages/jobs/src/job_manager.cpp
@@ -250,6 +250,16 @@
     return record > MAX_KEY_BYTES ? record - MAX_KEY_BYTES : 0;
 }
 
+std::optional<seconds> job_manager::timeUntilAdmitted(const job_request &request, instant now)
+{
+    const queue_config *queue = m_model.configured() ? m_model.config().queueNamed(request.queue) : nullptr;
+    const bool isNew = m_model.find(request.id) == nullptr;
+    if (queue == nullptr || !queue->policy || !isNew || request.repeatCount > 0) {
+        return std::nullopt;
+    }
+    return m_ticketAdmission.timeUntilAdmitted(m_tickets.pacer(), now);
+}
+
 void job_manager::submit(const job_request &request, const std::function<void(submit_result result)> &done, instant now, wall_ms wall)
 {
     m_wall = wall;
@@ -264,8 +274,12 @@
             return;
         }
         job &accepted = m_model.add(job::accept(request, wall));
+        const queue_config *queue = m_model.configured() ? m_model.queueOf(accepted) : nullptr;
         accepted.addDueOccurrences(wall, maxImageBytes());
         m_model.markChanged(request.id);
+        if (queue != nullptr && queue->policy) {
+            m_ticketAdmission.onAccepted();
+        }
         requestSchedule(now);
     }
     processChanges(now);
@@ -450,6 +464,7 @@
     for (const ticket_request &request : result.ticketRequests) {
         requestTickets(request, now);
     }
+    m_ticketAdmission.onPass(result.stepsToRequest);
     if (result.nextTicketRequestAt) {
         scheduleAgainAt(*result.nextTicketRequestAt, now);
     }
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -76,7 +76,10 @@
         if (spare && m_result.ticketRequests.empty()) {
             send(std::move(*spare));
         }
-        if (m_result.stepsWithoutTicket > 0) {
+        for (const auto &[name, pool] : m_pools) {
+            m_result.stepsToRequest += pool.hasRoomForFirst ? pool.stepsToRequest : 0;
+        }
+        if (m_waitsForTickets) {
             m_result.nextTicketRequestAt = m_pacer.nextChange(m_now);
         }
     }
@@ -109,6 +112,27 @@
         std::vector<rejected_size> rejected;
         // Such workers are open to some steps only, so a task that may not use them says nothing about the others.
         bool hasLeavingWorkers = false;
+        // CPU that the steps with a pending request to the policy service can use.
+        std::int64_t reservedCpuMillis = 0;
+        // Steps that wait until a request may be sent for them. Without room for the first one, room is what they wait for.
+        std::size_t stepsToRequest = 0;
+        bool hasRoomForFirst = false;
+
+        void reserveCpu(std::int64_t cpuMillis)
+        {
+            reservedCpuMillis += cpuMillis;
+        }
+        void countStepToRequest(std::int64_t taskCpuMillis)
+        {
+            if (stepsToRequest++ > 0) {
+                return;
+            }
+            std::int64_t free = 0;
+            for (const worker *target : workers) {
+                free += target->freeCapacity().cpuMillis;
+            }
+            hasRoomForFirst = free - reservedCpuMillis >= taskCpuMillis;
+        }
 
         bool canHoldOnStayingWorker(const step_spec &step) const
         {
@@ -204,9 +228,20 @@
             || !m_tickets.mayRequest(text, m_now)) {
             return;
         }
-        ++m_result.stepsWithoutTicket;
+        m_waitsForTickets = true;
         const bool pending = m_tickets.isRequestPending(text);
-        if (!m_pacer.maySend(m_now) || (pending && (m_repeatedRequest || !m_pacer.mayRepeat(m_now)))) {
+        pool_workers &pool = poolNamed(queue.pool);
+        const std::int64_t taskCpuMillis = fleet_model::resourcesOf(step).cpuMillis;
+        if (pending) {
+            pool.reserveCpu(taskCpuMillis * static_cast<std::int64_t>(waiting.size()));
+        }
+        if (!m_pacer.maySend(m_now)) {
+            if (!pending) {
+                pool.countStepToRequest(taskCpuMillis);
+            }
+            return;
+        }
+        if (pending && (m_repeatedRequest || !m_pacer.mayRepeat(m_now))) {
             return;
         }
         ticket_request tickets{ text, workersToAsk(current, queue, waiting, tasksAtOnce), queue.policy->validity, queue.name };
@@ -216,6 +251,7 @@
                 m_repeatedRequest = std::move(tickets);
             } else {
                 send(std::move(tickets));
+                pool.reserveCpu(taskCpuMillis * static_cast<std::int64_t>(waiting.size()));
             }
         } else if (m_tickets.pacer().isIdle() && !pending && !m_laterRequest) {
             tickets.workers = workersToAskForLater(queue, text, step);
@@ -416,6 +452,7 @@
     policy_request_pacer m_pacer;
     instant m_now;
     schedule_result &m_result;
+    bool m_waitsForTickets = false;
     // A request for tickets that nothing could be placed with yet.
     std::optional<ticket_request> m_laterRequest;
     // A request whose response is overdue, once more.
--- a/packages/manager/src/job_api_handler.cpp
+++ b/packages/manager/src/job_api_handler.cpp
@@ -106,6 +106,18 @@
     parsed.request->id = id;
     parsed.request->queue = queue.name;
     parsed.request->team = team;
+    if (const std::optional<seconds> wait = m_manager.timeUntilAdmitted(*parsed.request, now)) {
+        const std::string reason = "the policy service has too many requests";
+        m_log.write("refused",
+                    { { "job", id },
+                      { "queue", queue.name },
+                      { "status", std::to_string(STATUS_UNAVAILABLE) },
+                      { "reason", reason },
+                      { "retry_after_s", std::to_string(wait->count()) } });
+        m_log.count("refusals_total", std::to_string(STATUS_UNAVAILABLE));
+        reply({ STATUS_UNAVAILABLE, m_codec.errorBody(reason), "application/json", static_cast<unsigned>(wait->count()) });
+        return;
+    }
     m_manager.submit(
         *parsed.request,
         [this, id, queue = queue.name, team, reply](submit_result end) {
--- a/packages/manager/test/policy_load_test.cpp
+++ b/packages/manager/test/policy_load_test.cpp
@@ -132,10 +132,39 @@
     {
         return m_service;
     }
+    // Jobs that were refused, by the number of seconds after which their callers were told to return.
+    const std::map<unsigned, int> &refused() const
+    {
+        return m_refused;
+    }
+    // Hands jobs in at this rate, of a hundred parts of the usual one.
+    void submitFor(milliseconds time, int percent)
+    {
+        for (milliseconds passed(0); passed < time; passed += STEP) {
+            m_due += m_case.jobsPerSecond() * percent / 100 * static_cast<double>(STEP.count()) / 1000;
+            for (; m_due >= 1; m_due -= 1) {
+                submit();
+            }
+            m_platform.advance(STEP);
+        }
+    }
     int accepted() const
     {
         return m_accepted;
     }
+    // A refused job is not handed in again.
+    void submit()
+    {
+        const std::string id = fmt::format("{:016x}", ++m_submitted);
+        m_session->handle({ "POST", "h", QUEUE_PATH + id, {}, std::to_string(TASKS_PER_JOB) }, m_platform.now(),
+                          [this](const http_reply &reply) {
+                              if (reply.status == 200) {
+                                  ++m_accepted;
+                              } else {
+                                  ++m_refused[reply.retryAfterS];
+                              }
+                          });
+    }
 
 private:
     void beginSession()
@@ -177,25 +206,6 @@
         }
     }
 
-    void submitFor(milliseconds time, int percent)
-    {
-        for (milliseconds passed(0); passed < time; passed += STEP) {
-            m_due += m_case.jobsPerSecond() * percent / 100 * static_cast<double>(STEP.count()) / 1000;
-            for (; m_due >= 1; m_due -= 1) {
-                submit();
-            }
-            m_platform.advance(STEP);
-        }
-    }
-
-    // A refused job is not handed in again.
-    void submit()
-    {
-        const std::string id = fmt::format("{:016x}", ++m_submitted);
-        m_session->handle({ "POST", "h", QUEUE_PATH + id, {}, std::to_string(TASKS_PER_JOB) }, m_platform.now(),
-                          [this](const http_reply &reply) { m_accepted += reply.status == 200 ? 1 : 0; });
-    }
-
     load_case m_case;
     fake_platform m_platform;
     counting_log m_log;
@@ -206,6 +216,7 @@
     double m_due = 0;
     int m_submitted = 0;
     int m_accepted = 0;
+    std::map<unsigned, int> m_refused;
 };
 
 constexpr policy_config SLOW{ milliseconds(150), milliseconds(15), VALIDITY };
@@ -328,3 +339,51 @@
         cr_expect_eq(fleet.waitingTasks(), 0, "seed %u: %d tasks are left: %s", seed, fleet.waitingTasks(), describe(played).c_str());
     }
 }
+
+// Guards against jobs that are accepted although the policy service can't decide on them for a long time.
+Test(policy_load, whatCannotStartInTimeIsRefusedAtOnce)
+{
+    constexpr seconds OVERLOAD_TIME{ 60 };
+    load_case played{ "twice what the service can answer", { FIXED } };
+    played.loadPercent = 100;
+    load_play fleet(played, 1);
+    fleet.submitFor(OVERLOAD_TIME, 200);
+    const double answerable = played.capacityPerSecond() * static_cast<double>(OVERLOAD_TIME.count());
+    cr_expect_geq(fleet.accepted(), 0.95 * answerable, "%d of %.0f jobs accepted that the service could answer", fleet.accepted(),
+                  answerable);
+    int refused = 0;
+    for (const auto &[retryAfterS, jobs] : fleet.refused()) {
+        cr_expect_geq(retryAfterS, 1U);
+        refused += jobs;
+    }
+    cr_expect_gt(refused, 0);
+    fleet.submitFor(MAX_TICKET_WAIT, 0);
+    fleet.settle();
+    cr_expect_eq(fleet.waitingTasks(), 0, "%d tasks are left", fleet.waitingTasks());
+}
+
+// Guards against callers that are refused at the same time and all return at the same time.
+Test(policy_load, callersReturnAtTheRateOfTheService)
+{
+    load_case played{ "a burst at one moment", { FIXED } };
+    load_play fleet(played, 1);
+    constexpr int JOBS = 150;
+    for (int i = 0; i < JOBS; ++i) {
+        fleet.submit();
+    }
+    fleet.submitFor(seconds(1), 0);
+    cr_expect_lt(fleet.accepted(), JOBS);
+    for (const auto &[retryAfterS, jobs] : fleet.refused()) {
+        cr_expect_leq(jobs, played.capacityPerSecond() + 1, "%d callers return after %u s", jobs, retryAfterS);
+    }
+}
+
+// Guards against refusals because of tickets while the jobs wait for room.
+Test(policy_load, jobsThatWaitForRoomAreAccepted)
+{
+    load_case played{ "a full pool", { QUICK }, 2 };
+    load_play fleet(played, 1);
+    fleet.submitFor(seconds(60), 100);
+    cr_expect(fleet.refused().empty(), "%zu", fleet.refused().size());
+    cr_expect_gt(fleet.waitingTasks(), 100, "%d tasks wait for room", fleet.waitingTasks());
+}
