Keep a read of the store that is still arriving

A read of a feed had 1.5 s (and its wait) in all, however much of it had arrived. A configuration of 470 routes that took longer on a slowed machine was dropped and asked for again at the same place, as large as before. Ruled out: a smaller max_kb. One record holds the whole configuration and can't be divided. Change: http_request::extendsWithProgress starts the timeout anew with each part of a response that arrives, up to 8 timeouts in all. A response of which nothing arrives ends as early as before.

--- a/packages/platform/include/jujubespool/platform/http_client.h
+++ b/packages/platform/include/jujubespool/platform/http_client.h
@@ -44,6 +44,9 @@
     std::vector<http_header> headers;
     std::string body;
     milliseconds timeout{ 1000 };
+    // The timeout starts anew whenever a part of the response arrives, up to MAX_TIMEOUTS_WITH_PROGRESS times it in all. For large
+    // responses, which would otherwise be dropped and asked for again however much of them has arrived.
+    bool extendsWithProgress = false;
     // Opens a new connection instead of reusing an idle one.
     bool freshConnection = false;
     // If it is not empty, the request is sent only over an open connection whose peer was identified by this text. Without one, the
@@ -51,6 +54,9 @@
     std::string peer;
 };
 
+// Longest time for a response of which parts keep arriving, in timeouts of its request.
+constexpr int MAX_TIMEOUTS_WITH_PROGRESS = 8;
+
 enum class http_outcome {
     // A complete response was received.
     complete,
@@ -58,7 +64,7 @@
     connect_failed,
     // The connection was closed before the complete response was received.
     closed,
-    // The timeout expired after the connection was established.
+    // The timeout expired after the connection was established. A part of the response may have arrived.
     timed_out
 };
 
--- a/packages/platform/src/http_client.cpp
+++ b/packages/platform/src/http_client.cpp
@@ -53,6 +53,11 @@
     bool reused = false;
     evhttp_request *request = nullptr;
     event *timer = nullptr;
+    // With progress: restarted by each part of the response, while `timer` bounds the whole time.
+    event *progressTimer = nullptr;
+    timeval progressTimeout{ 0, 0 };
+    // The parts of the response's body that have been taken from the connection.
+    std::string body;
     std::string address;
     callback done;
     bool failed = false;
@@ -65,6 +70,34 @@
         if (timer != nullptr) {
             event_free(timer);
         }
+        if (progressTimer != nullptr) {
+            event_free(progressTimer);
+        }
+    }
+
+    void watchProgress(const timeval &timeout)
+    {
+        progressTimeout = timeout;
+        progressTimer = evtimer_new(client->m_base, onTimeout, this);
+        evtimer_add(progressTimer, &progressTimeout);
+    }
+
+    // Parts that are not taken here would be dropped.
+    static void onPart(evhttp_request *request, void *argument)
+    {
+        auto &self = *static_cast<exchange *>(argument);
+        appendTo(self.body, evhttp_request_get_input_buffer(request));
+        if (self.progressTimer != nullptr) {
+            evtimer_add(self.progressTimer, &self.progressTimeout);
+        }
+    }
+
+    static void appendTo(std::string &text, evbuffer *buffer)
+    {
+        const std::size_t size = text.size();
+        const std::size_t added = evbuffer_get_length(buffer);
+        text.resize(size + added);
+        evbuffer_remove(buffer, text.data() + size, added);
     }
 
     static void onDone(evhttp_request *request, void *argument)
@@ -114,9 +147,8 @@
         for (const evkeyval *header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
             result.headers.push_back({ header->key, header->value });
         }
-        evbuffer *body = evhttp_request_get_input_buffer(response);
-        result.body.resize(evbuffer_get_length(body));
-        evbuffer_remove(body, result.body.data(), result.body.size());
+        result.body = std::move(body);
+        appendTo(result.body, evhttp_request_get_input_buffer(response));
         // Without an explicit length, a broken connection cannot be told apart from the end of the response.
         const std::string *transferCoding = result.header("Transfer-Encoding");
         const bool framed = result.header("Content-Length") != nullptr || transferCoding != nullptr || result.status == HTTP_NOCONTENT;
@@ -249,6 +281,9 @@
     active.reused = isConnected(active.connection.handle);
     active.request = evhttp_request_new(exchange::onDone, &active);
     evhttp_request_set_error_cb(active.request, exchange::onError);
+    if (request.extendsWithProgress) {
+        evhttp_request_set_chunked_cb(active.request, exchange::onPart);
+    }
     evkeyvalq *headers = evhttp_request_get_output_headers(active.request);
     evhttp_add_header(headers, "Host", request.address.c_str());
     for (const http_header &header : request.headers) {
@@ -264,8 +299,11 @@
     active.sending = false;
     const bool pending = started && !active.endedWhileSending;
     active.timer = evtimer_new(m_base, pending ? exchange::onTimeout : exchange::onNoConnection, &active);
-    const timeval timeout = toTimeval(request.timeout);
+    const timeval timeout = toTimeval(request.extendsWithProgress ? MAX_TIMEOUTS_WITH_PROGRESS * request.timeout : request.timeout);
     evtimer_add(active.timer, pending ? &timeout : &immediately);
+    if (pending && request.extendsWithProgress) {
+        active.watchProgress(toTimeval(request.timeout));
+    }
 }
 
 void http_client::finish(exchange &active, http_result result, bool keepConnection)
