Go on with the page of a feed that failed, not from the first page

Change: the page that failed is read again. Before: feed_watcher::pageThatFailsIsReadAgainWithoutThoseBeforeIt: 11 reads and double entries for 5 pages of which 4 reads fail. After: 9 reads, each entry once.

--- a/packages/manager/include/jujubespool/manager/feed_watcher.h
+++ b/packages/manager/include/jujubespool/manager/feed_watcher.h
@@ -38,7 +38,8 @@
 
 private:
     void readNewest(const std::string &after);
-    void onNewest(const feed_page &page, bool first, instant now);
+    // Handles the page that begins after this key, the first page if it is empty.
+    void onNewest(const feed_page &page, const std::string &after, instant now);
     void readNext();
     void onRead(const feed_page &page, instant now);
     void logAvailability(const feed_page &page);
--- a/packages/manager/src/feed_watcher.cpp
+++ b/packages/manager/src/feed_watcher.cpp
@@ -43,21 +43,22 @@
 
 void feed_watcher::readNewest(const std::string &after)
 {
-    m_store.readLatest(m_which, after, m_lifetime.guard([this, first = after.empty()](const feed_page &page, instant now) {
+    m_store.readLatest(m_which, after, m_lifetime.guard([this, after](const feed_page &page, instant now) {
         if (!m_stopped) {
-            onNewest(page, first, now);
+            onNewest(page, after, now);
         }
     }));
 }
 
-void feed_watcher::onNewest(const feed_page &page, bool first, instant now)
+void feed_watcher::onNewest(const feed_page &page, const std::string &after, instant now)
 {
     logAvailability(page);
     if (!page.answered) {
-        m_timers.after(RETRY_DELAY, m_lifetime.guard([this](instant) { readNewest({}); }));
+        // The pages before this one stay valid: what changes after the first page is read later.
+        m_timers.after(RETRY_DELAY, m_lifetime.guard([this, after](instant) { readNewest(after); }));
         return;
     }
-    if (first) {
+    if (after.empty()) {
         // Later pages may already contain later changes. Reading on from the end offset of the first page misses none of them.
         m_offset = page.endOffset;
         m_keysSeen.clear();
