--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -1,7 +1,7 @@
 #include <jujubespool/jobs/run_scheduler.h>
 
 #include <algorithm>
-#include <cmath>
+#include <jujubespool/jobs/expected_grants.h>
 #include <jujubespool/jobs/free_capacity_index.h>
 #include <jujubespool/jobs/gang_placement.h>
 #include <jujubespool/jobs/team_shares.h>
@@ -18,27 +18,6 @@
 constexpr std::size_t MAX_WORKERS_PER_REQUEST = 100;
 // Workers are named in addition as long as they cost this part of what each request costs.
 constexpr int PART_OF_DECISION_FOR_SPARE_WORKERS = 4;
-// So many standard deviations below the mean, the workers that the policy service is expected to permit still suffice.
-constexpr double GRANT_MARGIN = 1.5;
-
-// Adds up the tasks for which workers are expected to get tickets.
-class expected_grants
-{
-public:
-    void add(double permittedShare, std::int64_t tasks)
-    {
-        m_mean += permittedShare * static_cast<double>(tasks);
-        m_variance += permittedShare * (1 - permittedShare) * static_cast<double>(tasks * tasks);
-    }
-    bool suffice(std::int64_t tasks) const
-    {
-        return m_mean - GRANT_MARGIN * std::sqrt(m_variance) >= static_cast<double>(tasks);
-    }
-
-private:
-    double m_mean = 0;
-    double m_variance = 0;
-};
 
 milliseconds costOf(const policy_config &policy, std::size_t workers)
 {
