Let a step that is denied ask for more workers each time

What callers would have seen: a step that the policy permits on few workers, in a queue whose other steps are permitted nearly everywhere, asked for two or three workers at a time and waited for a call for each. Cause: since the requests are sized by what is likely to suffice, only the answers for the whole queue counted. Also, an answer for a step left a repeated request of the step pending, so further workers were not asked until that was answered. Change: a step's own answers count beside those of its queue, which weigh as much as two workers. An answer ends what is pending for the step. Before: policy_tickets::stepThatIsDeniedAsksForMoreWorkersEachTime: the step had not started after 24 passes.

--- a/packages/jobs/include/jujubespool/jobs/policy_ticket_cache.h
+++ b/packages/jobs/include/jujubespool/jobs/policy_ticket_cache.h
@@ -40,8 +40,9 @@
     {
         return find(step, target) != nullptr;
     }
-    // Share of the workers asked for steps of the queue that the policy service permits, as far as known.
-    double grantRatio(const std::string &queue) const;
+    // Share of further workers that the policy service is expected to permit for the step, by its answers for the step and for others of
+    // the queue.
+    double grantRatio(const std::string &queue, const std::string &step) const;
     bool isRequestPending(const std::string &step) const
     {
         return m_pendingSteps.count(step) > 0;
--- a/packages/jobs/src/policy_ticket_cache.cpp
+++ b/packages/jobs/src/policy_ticket_cache.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds MIN_RETRY_DELAY{ 100 };
 // The grant ratio of a queue is that of about this many workers that were asked last.
 constexpr double REMEMBERED_WORKERS = 400;
+// For a step, the grant ratio of its queue counts as much as this many workers that were asked for the step.
+constexpr double WEIGHT_OF_QUEUE = 2;
 
 } // namespace
 
@@ -55,12 +57,19 @@
     return entry == m_steps.end() || now >= entry->second.retryAt;
 }
 
-double policy_ticket_cache::grantRatio(const std::string &queue) const
+double policy_ticket_cache::grantRatio(const std::string &queue, const std::string &step) const
 {
     const auto known = m_grants.find(queue);
     const grant_counts counts = known == m_grants.end() ? grant_counts() : known->second;
     // The mean of what is known and of one worker that was permitted and one that was not.
-    return (counts.granted + 1) / (counts.asked + 2);
+    const double ratioOfQueue = (counts.granted + 1) / (counts.asked + 2);
+    const auto entry = m_steps.find(step);
+    if (entry == m_steps.end()) {
+        return ratioOfQueue;
+    }
+    const auto granted = static_cast<double>(entry->second.tickets.size());
+    const auto denied = static_cast<double>(entry->second.deniedWorkers.size());
+    return (granted + WEIGHT_OF_QUEUE * ratioOfQueue) / (granted + denied + WEIGHT_OF_QUEUE);
 }
 
 std::uint64_t policy_ticket_cache::recordRequest(const ticket_request &request, const worker_registry &workers, instant now)
@@ -91,6 +100,8 @@
     m_pacer.onResponse(number, response.tickets ? ticket_outcome::answered : response.outcome, now);
     release(number, request.step);
     if (response.tickets) {
+        // Another request for the step may be pending, but what it asked for is known now.
+        m_pendingSteps.erase(request.step);
         recordAnswer(pending.mapped(), response, now);
     } else if (response.outcome == ticket_outcome::unusable) {
         step_tickets &cached = m_steps[request.step];
--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -284,7 +284,7 @@
                                              const placement_request &request, const wanted_tickets &wanted) const
     {
         const std::string text = request.task.stepText();
-        const double grantRatio = m_tickets.grantRatio(queue.name);
+        const double grantRatio = m_tickets.grantRatio(queue.name, text);
         const milliseconds spareCost = queue.policy->decision / PART_OF_DECISION_FOR_SPARE_WORKERS;
         std::vector<std::string> workers;
         expected_grants grants;
--- a/packages/jobs/test/policy_ticket_test.cpp
+++ b/packages/jobs/test/policy_ticket_test.cpp
@@ -416,3 +416,24 @@
     cr_assert_eq(fixture.allowed.count(again[0].workers[0]), 1U, "%s is asked first", again[0].workers[0].c_str());
     cr_assert_leq(again[0].workers.size(), 2U, "%zu workers are asked", again[0].workers.size());
 }
+
+// Guards against a step that asks for a few workers at a time again and again, as the policy permits nearly all to the other steps.
+Test(policy_tickets, stepThatIsDeniedAsksForMoreWorkersEachTime)
+{
+    policy_fixture fixture(60);
+    fixture.config.queues[0].policy = policy_config{ milliseconds(20), milliseconds(5), VALIDITY };
+    fixture.model.setConfig(std::make_shared<fleet_config>(fixture.config));
+    constexpr int PERMITTED_STEPS = 20;
+    for (int i = 0; i < PERMITTED_STEPS; ++i) {
+        fixture.submit(stepOf(1));
+    }
+    fixture.settle();
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), static_cast<std::size_t>(PERMITTED_STEPS));
+    fixture.requests = 0;
+    fixture.allowed = { "w058" };
+    fixture.submit(stepOf(1));
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), PERMITTED_STEPS + 1U, "%zu", fixture.placements.size());
+    cr_assert_leq(fixture.requests, 5, "%d requests", fixture.requests);
+}
