Ask the whole rack for a gang that should run on one

What callers would have seen: a gang with same_rack in a queue with advice spread over two racks, and taking far_factor times as long, though one rack had room and permission for it. Cause: since the requests are sized by what is likely to suffice, tickets on several racks were added up. Change: for such a step, as many workers are asked as before the sizing, the rack with the most room first. Before: policy_tickets::gangOnOneRackAsksTheWholeRackFirst: one of three tasks is placed on the other rack. After: all three on one.

--- a/packages/jobs/src/run_scheduler.cpp
+++ b/packages/jobs/src/run_scheduler.cpp
@@ -267,8 +267,10 @@
         }
         if (request.step->sameRack) {
             putLargestRackFirst(unasked, request);
+        } else {
+            std::stable_partition(unasked.begin(), unasked.end(),
+                                  [&](const worker *target) { return m_tickets.wasGranted(text, *target); });
         }
-        std::stable_partition(unasked.begin(), unasked.end(), [&](const worker *target) { return m_tickets.wasGranted(text, *target); });
         return likelyToSuffice(unasked, queue, request, { static_cast<std::int64_t>(waiting.size()), slotsWithTicket, tasksAtOnce });
     }
 
@@ -294,7 +296,9 @@
             const std::size_t limit
                 = slots < static_cast<std::int64_t>(wanted.tasksAtOnce) ? MAX_WORKERS_PER_REQUEST : USUAL_WORKERS_PER_REQUEST;
             const bool costsLittle = queue.policy->perWorker * static_cast<std::int64_t>(workers.size() + 1) <= spareCost;
-            if (workers.size() >= limit || (!costsLittle && grants.suffice(wanted.tasks))) {
+            // Tickets on several racks do not add up for tasks that should run on one.
+            const bool suffices = !request.step->sameRack && grants.suffice(wanted.tasks);
+            if (workers.size() >= limit || (!costsLittle && suffices)) {
                 break;
             }
             workers.push_back(target->report.id);
--- a/packages/jobs/test/policy_ticket_test.cpp
+++ b/packages/jobs/test/policy_ticket_test.cpp
@@ -437,3 +437,23 @@
     cr_assert_eq(fixture.placements.size(), PERMITTED_STEPS + 1U, "%zu", fixture.placements.size());
     cr_assert_leq(fixture.requests, 5, "%d requests", fixture.requests);
 }
+
+// Guards against a gang that is spread over racks, and slow, because only a few workers of each rack were asked.
+Test(policy_tickets, gangOnOneRackAsksTheWholeRackFirst)
+{
+    policy_fixture fixture(80);
+    fixture.config.queues[0].policy = policy_config{ milliseconds(20), milliseconds(5), VALIDITY };
+    fixture.model.setConfig(std::make_shared<fleet_config>(fixture.config));
+    // One rack has room for the gang, on its 1st, 2nd and 16th worker.
+    fixture.allowed = { "w000", "w002", "w030", "w001" };
+    step_spec step = stepOf(3);
+    step.gang = true;
+    step.sameRack = true;
+    step.maxPerWorker = 1;
+    fixture.submit(step);
+    fixture.settle();
+    cr_assert_eq(fixture.placements.size(), 3U, "%zu of 3 tasks placed", fixture.placements.size());
+    for (const placement &placed : fixture.placements) {
+        cr_assert_str_eq(fixture.model.workers().find(placed.worker)->rack().c_str(), RACK_OF_HALF.c_str(), "%s", placed.worker.c_str());
+    }
+}
