Correct two comments of the request pacer

Cause: a comment said that the repetitions of a request become less frequent without a bound; MAX_REPEAT_INTERVAL bounds the time between them. The comment of that constant was hard to read. Change: comments alone.

--- a/packages/jobs/include/jujubespool/jobs/policy_request_pacer.h
+++ b/packages/jobs/include/jujubespool/jobs/policy_request_pacer.h
@@ -27,7 +27,7 @@
     // Whether another request may be sent now.
     bool maySend(instant now) const;
     // Whether a request whose response is overdue may be sent once more. In a long line the first one is still handled, so that the second
-    // takes time from the service for nothing; such requests become less and less frequent without a bound.
+    // takes time from the service for nothing. The time between such requests doubles, up to some seconds.
     bool mayRepeat(instant now) const;
     void onRepeated(instant now);
     // When the answer of maySend(), mayRepeat(), isStalled() or takeLost() may be another one next although no response has come; empty if
--- a/packages/jobs/src/policy_request_pacer.cpp
+++ b/packages/jobs/src/policy_request_pacer.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds MIN_PROBE_INTERVAL{ 100 };
 // Maximum number of requests without a response while the service responds.
 constexpr std::size_t MAX_PENDING_REQUESTS = 8;
-// Longest time between two repetitions, unless this many times the cost of a request is longer.
+// Longest time between two repetitions of a request, or the time of this many requests if that is longer.
 constexpr milliseconds MAX_REPEAT_INTERVAL{ 8000 };
 constexpr int MIN_COSTS_PER_REPETITION = 4;
 // Weight of the last value in a moving average.
